--- /dev/null
+++ b/src/cactusgauge/__init__.py
@@ -0,0 +1,3 @@
+"""Dispatcher for parallel jobs of sub-second tasks."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/cactusgauge/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent role: the only path to one backend server."""
--- /dev/null
+++ b/src/cactusgauge/agent/agent_daemon.py
@@ -0,0 +1,137 @@
+"""The agent process."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import falcon.asgi
+
+from cactusgauge import http_server, ids, observability, operations_resource
+from cactusgauge.agent import (
+    backend_server_lease,
+    backend_server_resource,
+    entry_directory,
+    entry_links,
+    slot_gate,
+    start_controller,
+    start_log,
+    task_runner,
+)
+
+if TYPE_CHECKING:
+    from cactusgauge import settings
+
+REFRESH_S = 0.25
+
+
+class AgentDaemon(operations_resource.DaemonState):
+    """Wires the parts of an agent together and runs them until it is stopped."""
+
+    def __init__(self, own: "settings.AgentSettings") -> None:
+        self._settings = own
+        self._incarnation = ids.new_agent_incarnation()
+        self._counters = observability.Counters()
+        self._events = observability.EventRing(own.name)
+        self._lease = backend_server_lease.BackendServerLease()
+        self._gate = slot_gate.SlotGate(own.slots)
+        self._starts = start_log.StartLog()
+        self._directory = entry_directory.EntryDirectory(own.workspace, own.seeds, own.links_per_agent)
+        self._controller: start_controller.StartController | None = None
+        self._links: entry_links.EntryLinks | None = None
+        self._stop = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new work is taken."""
+        return self._controller is not None and self._controller.serving
+
+    @property
+    def counters(self) -> observability.Counters:
+        """The agent's counters."""
+        return self._counters
+
+    @property
+    def events(self) -> observability.EventRing:
+        """The agent's events."""
+        return self._events
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown."""
+        self._stop.set()
+
+    def status(self) -> dict[str, Any]:
+        """Return the agent's view: its backend server, slots and links."""
+        lease = self._lease.valid
+        return {
+            "role": "agent",
+            "agent": self._settings.name,
+            "incarnation": self._incarnation,
+            "workspace": self._settings.workspace,
+            "data_centre": self._settings.data_centre,
+            "ready": self.is_ready,
+            "backend_server": {"name": lease.name, "url": lease.url} if lease else None,
+            "slots": self._gate.slots,
+            "running": self._gate.running,
+            "links": sorted(self._links.linked_urls) if self._links else [],
+            "start_log": {"jobs": len(self._starts), "bytes": self._starts.size_bytes},
+            "counters": self._counters.as_rows(),
+        }
+
+    async def run(self) -> None:
+        """Serve until `stop`, then drain."""
+        connector = aiohttp.TCPConnector(limit=self._settings.connections, keepalive_timeout=task_runner.KEEP_ALIVE_S)
+        async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
+            controller = start_controller.StartController(
+                self._settings.workspace,
+                self._lease,
+                self._gate,
+                self._starts,
+                task_runner.TaskRunner(session, self._lease),
+                self._counters,
+                self._events,
+            )
+            self._controller = controller
+            self._links = entry_links.EntryLinks(
+                ids.AgentName(self._settings.name),
+                self._incarnation,
+                self._settings.workspace,
+                self._settings.data_centre,
+                self._settings.slots,
+                self._directory,
+                controller,
+                self._counters,
+                self._events,
+            )
+            app = falcon.asgi.App()
+            operations_resource.OperationsResource(self).add_to(app)
+            backend_server_resource.BackendServerResource(self._lease, controller).add_to(app)
+            server = http_server.HttpServer(app, self._settings.host, self._settings.http_port)
+            await self._run_parts(server, controller, self._links)
+
+    async def _run_parts(
+        self,
+        server: http_server.HttpServer,
+        controller: start_controller.StartController,
+        links: entry_links.EntryLinks,
+    ) -> None:
+        async with asyncio.TaskGroup() as group:
+            serving = group.create_task(server.run_until_stopped())
+            background = [
+                group.create_task(links.run()),
+                group.create_task(self._refresh_forever(controller)),
+            ]
+            self._events.record_state("agent_started", incarnation=self._incarnation)
+            await self._stop.wait()
+            self._events.record_state("agent_draining", running=controller.running_count)
+            await controller.drain()
+            server.stop()
+            await serving
+            for task in background:
+                task.cancel()
+        self._events.record_state("agent_stopped")
+
+    @staticmethod
+    async def _refresh_forever(controller: start_controller.StartController) -> None:
+        while True:
+            controller.refresh()
+            await asyncio.sleep(REFRESH_S)
--- /dev/null
+++ b/src/cactusgauge/agent/backend_server_lease.py
@@ -0,0 +1,53 @@
+"""The lease under which an agent may start tasks at its backend server."""
+
+import asyncio
+from typing import NamedTuple
+
+from cactusgauge import ids
+
+DEFAULT_TTL_S = 3.0  # the bound on new work for a backend server that is leaving
+MIN_TTL_S = 0.2
+
+
+class Lease(NamedTuple):
+    """One registration of a backend server; `expires_at` is a loop time in seconds."""
+
+    id: ids.LeaseId
+    name: str
+    url: str
+    expires_at: float
+
+
+class BackendServerLease:
+    """Holds the lease of the one backend server beside the agent.
+
+    Validity is checked at the moment of use, on the monotonic clock, so that an agent that was paused does not act on
+    an expired lease.
+    """
+
+    def __init__(self) -> None:
+        self._lease: Lease | None = None
+
+    @property
+    def valid(self) -> Lease | None:
+        """The lease, if it has not expired and the server has not left."""
+        if self._lease is None or asyncio.get_running_loop().time() >= self._lease.expires_at:
+            return None
+        return self._lease
+
+    def announce(self, name: str, url: str, lease_id: ids.LeaseId | None, ttl_s: float = DEFAULT_TTL_S) -> Lease:
+        """Renew the lease of `lease_id`, or grant a new one if it is not the valid one."""
+        current = self.valid
+        expires_at = asyncio.get_running_loop().time() + min(max(ttl_s, MIN_TTL_S), DEFAULT_TTL_S)
+        if current is not None and current.id == lease_id and current.url == url:
+            self._lease = current._replace(expires_at=expires_at)
+        else:
+            self._lease = Lease(ids.new_lease_id(), name, url, expires_at)
+        return self._lease
+
+    def leave(self, lease_id: ids.LeaseId) -> bool:
+        """End a lease; return False if it is not the current one."""
+        if self._lease is None or self._lease.id != lease_id:
+            return False
+        self._lease = None
+        return True
--- /dev/null
+++ b/src/cactusgauge/agent/backend_server_resource.py
@@ -0,0 +1,63 @@
+"""HTTP resource through which the backend server announces itself to its agent."""
+
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from cactusgauge import ids
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+    from cactusgauge.agent import backend_server_lease, start_controller
+
+BACKEND_SERVER_PATH = "/v1/backend-server"
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Announcement(pydantic.BaseModel):
+    """Body of an announcement; `lease` is the id of the lease to renew."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    name: str = pydantic.Field(min_length=1, max_length=100)
+    url: str = pydantic.Field(pattern=r"^http://[0-9.:\[\]a-fA-F]+(/.*)?$")
+    ttl_ms: int = pydantic.Field(default=3000, ge=1)
+    lease: ids.LeaseId | None = None
+
+
+class BackendServerResource:
+    """Takes announcements, renewals and leaves."""
+
+    def __init__(
+        self,
+        lease: "backend_server_lease.BackendServerLease",
+        controller: "start_controller.StartController",
+    ) -> None:
+        self._lease = lease
+        self._controller = controller
+
+    def add_to(self, app: "falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]") -> None:
+        """Add the route to an application."""
+        app.add_route(BACKEND_SERVER_PATH, self)
+
+    async def on_put(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Grant or renew the lease."""
+        try:
+            announcement = Announcement.model_validate_json(await request.stream.read())
+        except pydantic.ValidationError as error:
+            response.status = 400
+            response.media = {"code": "bad_request", "message": str(error).replace("\n", "; "), "ran": "nothing"}
+            return
+        granted = self._lease.announce(
+            announcement.name, announcement.url, announcement.lease, announcement.ttl_ms / MILLISECONDS_PER_SECOND
+        )
+        self._controller.refresh()
+        response.media = {"lease": granted.id}
+
+    async def on_delete(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """End the lease given by `?lease=ID`; the server gets no new work from now on."""
+        left = self._lease.leave(ids.LeaseId(request.get_param("lease", default="")))
+        self._controller.refresh()
+        response.status = 200 if left else 404
+        response.media = {"left": left}
--- /dev/null
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -0,0 +1,127 @@
+"""What an agent keeps for one entry incarnation, across links."""
+
+import asyncio
+import collections
+
+from cactusgauge import exceptions, ids, wire
+
+MAX_SEALED_SESSIONS = 10_000
+UNSENT_RETENTION_S = 120.0
+
+
+class EntryLedger:
+    """Numbers, unacknowledged results and sealed sessions of one entry incarnation.
+
+    The last assign number makes each assign message take effect at most once. It is kept as long as the agent runs,
+    as an entry that was paused may return at any time.
+    """
+
+    def __init__(self, incarnation: ids.EntryIncarnation) -> None:
+        self._incarnation = incarnation
+        self._link: wire.Link | None = None
+        self._last_assign_number = 0
+        self._last_result_number = 0
+        self._pending: list[wire.Outcome] = []
+        self._unacknowledged: collections.deque[wire.Results] = collections.deque()
+        self._sealed_sessions: set[ids.SessionId] = set()
+        self._is_sealed = False
+        self._unlinked_since: float | None = None
+        self._shown_credit = 0
+
+    @property
+    def incarnation(self) -> ids.EntryIncarnation:
+        """The entry incarnation."""
+        return self._incarnation
+
+    @property
+    def link(self) -> "wire.Link | None":
+        """The current link."""
+        return self._link
+
+    @property
+    def last_assign_number(self) -> int:
+        """Number of the last assign message handled."""
+        return self._last_assign_number
+
+    @property
+    def shown_credit(self) -> int:
+        """The credit that the entry was last told."""
+        return self._shown_credit
+
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Whether the entry may not have received every result."""
+        return bool(self._pending or self._unacknowledged)
+
+    def attach(self, link: wire.Link, last_result_number: int, credit: int, serving: bool) -> None:
+        """Use a new link: report the last number handled and send again what the entry has not received."""
+        self._link = link
+        self._unlinked_since = None
+        self._shown_credit = credit
+        self.acknowledge(last_result_number)
+        link.post(wire.Resume(self._last_assign_number, credit, serving))
+        for results in self._unacknowledged:
+            link.post(results._replace(assign_ack=self._last_assign_number, credit=credit))
+        if not self._unacknowledged:
+            self._last_result_number = last_result_number
+
+    def detach(self) -> None:
+        """Note the loss of the link; nothing is read from it any more."""
+        self._link = None
+        self._unlinked_since = asyncio.get_running_loop().time()
+
+    def accept(self, assign: wire.Assign) -> bool:
+        """Take the number of an assign message; return False for a repeated one."""
+        if assign.number <= self._last_assign_number:
+            return False
+        if assign.number != self._last_assign_number + 1:
+            raise exceptions.ProtocolError(f"assign {assign.number} after {self._last_assign_number}")
+        self._last_assign_number = assign.number
+        self.acknowledge(assign.result_ack)
+        return True
+
+    def acknowledge(self, result_number: int) -> None:
+        """Forget the results that the entry received."""
+        while self._unacknowledged and self._unacknowledged[0].number <= result_number:
+            self._unacknowledged.popleft()
+
+    def add_outcome(self, outcome: wire.Outcome) -> None:
+        """Keep an outcome for the next results message."""
+        self._pending.append(outcome)
+
+    def flush(self, credit: int) -> None:
+        """Send the kept outcomes in one message."""
+        if not self._pending or self._link is None:
+            return
+        self._last_result_number += 1
+        results = wire.Results(self._last_result_number, self._last_assign_number, credit, self._pending)
+        self._pending = []
+        self._unacknowledged.append(results)
+        self._shown_credit = credit
+        self._link.post(results)
+
+    def show_state(self, credit: int, serving: bool) -> None:
+        """Tell the entry its credit and whether new work is taken."""
+        self._shown_credit = credit
+        if self._link is not None:
+            self._link.post(wire.AgentState(self._last_assign_number, credit, serving))
+
+    def seal(self, session: ids.SessionId) -> None:
+        """Refuse every later start of a session; past a bound, of all sessions of this entry incarnation."""
+        if len(self._sealed_sessions) >= MAX_SEALED_SESSIONS:
+            self._is_sealed = True
+            self._sealed_sessions.clear()
+        if not self._is_sealed:
+            self._sealed_sessions.add(session)
+
+    def is_sealed(self, session: ids.SessionId) -> bool:
+        """Whether starts of a session are refused."""
+        return self._is_sealed or session in self._sealed_sessions
+
+    def expire(self) -> None:
+        """Drop the results for an entry that has been away too long to use them."""
+        if self._unlinked_since is None:
+            return
+        if asyncio.get_running_loop().time() - self._unlinked_since > UNSENT_RETENTION_S:
+            self._pending.clear()
+            self._unacknowledged.clear()
--- /dev/null
+++ b/src/cactusgauge/agent/entry_links.py
@@ -0,0 +1,141 @@
+"""Links from an agent to entries."""
+
+import asyncio
+import contextlib
+import random
+from typing import TYPE_CHECKING
+
+import websockets.exceptions
+from websockets.asyncio import client
+
+from cactusgauge import exceptions, wire
+
+if TYPE_CHECKING:
+    from cactusgauge import ids, observability
+    from cactusgauge.agent import entry_directory, entry_ledger, start_controller
+
+OPEN_TIMEOUT_S = 2.0
+WELCOME_TIMEOUT_S = 3.0
+MIN_REDIAL_S = 0.1
+MAX_REDIAL_S = 1.0
+CHECK_S = 0.2
+
+
+class EntryLinks:
+    """Keeps one link, served by one task, to each wanted entry."""
+
+    def __init__(
+        self,
+        name: "ids.AgentName",
+        incarnation: "ids.AgentIncarnation",
+        workspace: "ids.WorkspaceName",
+        data_centre: "ids.DataCentreName",
+        slots: int,
+        directory: "entry_directory.EntryDirectory",
+        controller: "start_controller.StartController",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+    ) -> None:
+        self._hello = wire.AgentHello(wire.PROTOCOL_VERSION, name, incarnation, workspace, data_centre, slots)
+        self._directory = directory
+        self._controller = controller
+        self._counters = counters
+        self._events = events
+        self._codec = wire.FrameCodec()
+        self._dial_tasks: dict[str, asyncio.Task[None]] = {}
+        self._linked_urls: set[str] = set()
+
+    @property
+    def linked_urls(self) -> set[str]:
+        """URLs of the entries that are linked now."""
+        return set(self._linked_urls)
+
+    async def run(self) -> None:
+        """Dial the wanted entries until cancelled."""
+        try:
+            while True:
+                self._update_dial_tasks()
+                await asyncio.sleep(CHECK_S)
+        finally:
+            for task in self._dial_tasks.values():
+                task.cancel()
+            await asyncio.gather(*self._dial_tasks.values(), return_exceptions=True)
+
+    def _update_dial_tasks(self) -> None:
+        wanted = self._directory.wanted_urls()
+        for url in wanted - self._dial_tasks.keys():
+            self._dial_tasks[url] = asyncio.create_task(self._dial_forever(url))
+        # A linked entry may own sessions, so only a link that is down anyway is given up.
+        for url in self._dial_tasks.keys() - wanted - self._linked_urls:
+            self._dial_tasks.pop(url).cancel()
+
+    async def _dial_forever(self, url: str) -> None:
+        while True:
+            with contextlib.suppress(
+                OSError, TimeoutError, websockets.exceptions.WebSocketException, exceptions.CactusgaugeError
+            ):
+                await self._dial(url)
+            await asyncio.sleep(random.uniform(MIN_REDIAL_S, MAX_REDIAL_S))
+
+    async def _dial(self, url: str) -> None:
+        connection = await client.connect(
+            url,
+            compression=None,
+            ping_interval=None,
+            max_size=wire.MAX_FRAME_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=1,
+            proxy=None,
+        )
+        ledger: entry_ledger.EntryLedger | None = None
+
+        def heartbeat() -> wire.Message:
+            return wire.Heartbeat(ledger.last_assign_number if ledger else 0, 0)
+
+        async with wire.Link(connection, self._codec, self._counters, heartbeat) as link:
+            link.workspace = self._hello.workspace
+            welcome = await self._shake_hands(link)
+            found = self._controller.ledger(welcome.incarnation)
+            if found.link is not None:
+                raise exceptions.ProtocolError(f"entry {welcome.name} is already linked")
+            ledger = found
+            await self._serve(url, link, ledger, welcome)
+
+    async def _shake_hands(self, link: wire.Link) -> wire.Welcome:
+        link.post(self._hello)
+        async with asyncio.timeout(WELCOME_TIMEOUT_S):
+            welcome = await link.receive()
+        if not isinstance(welcome, wire.Welcome) or welcome.protocol != wire.PROTOCOL_VERSION:
+            raise exceptions.ProtocolError("Welcome of the same protocol version expected")
+        return welcome
+
+    async def _serve(
+        self, url: str, link: wire.Link, ledger: "entry_ledger.EntryLedger", welcome: wire.Welcome
+    ) -> None:
+        self._controller.attach(ledger, link, welcome.last_result_number)
+        self._directory.report(url, welcome.entries)
+        self._linked_urls.add(url)
+        self._events.record_state("entry_linked", entry=welcome.name, incarnation=welcome.incarnation)
+        try:
+            while True:
+                self._take(url, link, ledger, await link.receive())
+        finally:
+            # Nothing may be read from this link once the ledger can be attached to another one.
+            self._controller.detach(ledger)
+            self._linked_urls.discard(url)
+            self._directory.forget(url)
+            self._events.record_state("entry_unlinked", entry=welcome.name)
+
+    def _take(self, url: str, link: wire.Link, ledger: "entry_ledger.EntryLedger", message: wire.Message) -> None:
+        match message:
+            case wire.Assign():
+                self._controller.handle(ledger, message)
+            case wire.Heartbeat():
+                ledger.acknowledge(message.ack)
+                self._controller.set_demand(ledger, message.demand)
+            case wire.Entries():
+                self._directory.report(url, message.entries)
+            case wire.Seal():
+                link.post(self._controller.seal(message))
+            case _:
+                raise exceptions.ProtocolError(f"unexpected {type(message).__name__} from an entry")
--- /dev/null
+++ b/src/cactusgauge/agent/start_controller.py
@@ -0,0 +1,188 @@
+"""Decides about every start that reaches an agent."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from cactusgauge import ids, jobs, wire
+from cactusgauge.agent import entry_ledger
+
+if TYPE_CHECKING:
+    from cactusgauge import observability
+    from cactusgauge.agent import backend_server_lease, slot_gate, start_log, task_runner
+
+
+class StartController:
+    """Starts tasks within the limits, refuses the others as `not_run`, and reports every outcome."""
+
+    def __init__(
+        self,
+        workspace: ids.WorkspaceName,
+        lease: "backend_server_lease.BackendServerLease",
+        gate: "slot_gate.SlotGate",
+        starts: "start_log.StartLog",
+        runner: "task_runner.TaskRunner",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+    ) -> None:
+        self._workspace = workspace
+        self._lease = lease
+        self._gate = gate
+        self._starts = starts
+        self._runner = runner
+        self._counters = counters
+        self._events = events
+        self._ledgers: dict[ids.EntryIncarnation, entry_ledger.EntryLedger] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._flush_scheduled = False
+        self._draining = False
+        self._shown_serving = False
+
+    @property
+    def serving(self) -> bool:
+        """Whether new work is taken now."""
+        return not self._draining and self._lease.valid is not None
+
+    @property
+    def ledgers(self) -> list[entry_ledger.EntryLedger]:
+        """The ledgers of all entry incarnations heard of."""
+        return list(self._ledgers.values())
+
+    @property
+    def running_count(self) -> int:
+        """Number of tasks that run."""
+        return len(self._tasks)
+
+    def ledger(self, incarnation: ids.EntryIncarnation) -> entry_ledger.EntryLedger:
+        """Return the ledger of an entry incarnation."""
+        found = self._ledgers.get(incarnation)
+        if found is None:
+            found = entry_ledger.EntryLedger(incarnation)
+            self._ledgers[incarnation] = found
+        return found
+
+    def attach(self, ledger: entry_ledger.EntryLedger, link: wire.Link, last_result_number: int) -> None:
+        """Resume an entry's work over a new link."""
+        ledger.attach(link, last_result_number, self._credit(ledger), self.serving)
+        self._schedule_flush()
+
+    def detach(self, ledger: entry_ledger.EntryLedger) -> None:
+        """Note that an entry's link is gone; its demand counts no longer."""
+        ledger.detach()
+        self._gate.set_demand(ledger.incarnation, 0)
+        self._schedule_flush()
+
+    def handle(self, ledger: entry_ledger.EntryLedger, assign: wire.Assign) -> None:
+        """Start or refuse each task of an assign message; a repeated message is ignored."""
+        if not ledger.accept(assign):
+            self._counters.add("messages_wasted", self._workspace, "repeated_assign")
+            return
+        self._gate.set_demand(ledger.incarnation, assign.demand)
+        for start in assign.starts:
+            reason = self._refusal(ledger, start)
+            if reason is jobs.Reason.NONE:
+                self._begin(ledger, start)
+            else:
+                self._refuse(ledger, start, reason)
+        self._schedule_flush()
+
+    def set_demand(self, ledger: entry_ledger.EntryLedger, demand: int) -> None:
+        """Note an entry's demand."""
+        self._gate.set_demand(ledger.incarnation, demand)
+        self._schedule_flush()
+
+    def seal(self, seal: wire.Seal) -> wire.Sealed:
+        """Start nothing more of a session and tell what is known of a job."""
+        owner = ids.owner_of(seal.session)
+        self.ledger(owner).seal(seal.session)
+        self._events.record_state("session_sealed", session=seal.session)
+        record = self._starts.find(ids.JobId(seal.session, seal.number))
+        if record is None:
+            return wire.Sealed(seal.request, 0, b"", [], [])
+        return wire.Sealed(
+            seal.request, record.task_count, record.digest, sorted(record.running), list(record.outcomes.values())
+        )
+
+    def refresh(self) -> None:
+        """Tell the entries of a change of state since the last call, and drop what is over time."""
+        if self.serving != self._shown_serving:
+            self._shown_serving = self.serving
+            self._events.record_state("serving_changed", serving=self.serving)
+            for ledger in self._ledgers.values():
+                ledger.show_state(self._credit(ledger), self.serving)
+        self._starts.expire()
+        for ledger in self._ledgers.values():
+            ledger.expire()
+
+    async def drain(self) -> None:
+        """Take no new work, and wait until all running tasks ended and their results were received."""
+        self._draining = True
+        self.refresh()
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        self._flush()
+        while any(ledger.link is not None and ledger.has_unacknowledged for ledger in self._ledgers.values()):
+            await asyncio.sleep(0.05)
+
+    def _refusal(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> jobs.Reason:
+        if ledger.is_sealed(start.session):
+            return jobs.Reason.SEALED
+        if self._draining:
+            return jobs.Reason.AGENT_DRAINING
+        if self._lease.valid is None:
+            return jobs.Reason.NO_BACKEND_SERVER
+        if not self._gate.acquire(ledger.incarnation):
+            return jobs.Reason.NO_SLOT
+        return jobs.Reason.NONE
+
+    def _refuse(self, ledger: entry_ledger.EntryLedger, start: wire.Start, reason: jobs.Reason) -> None:
+        self._counters.add("starts_refused", self._workspace, reason.value)
+        ledger.add_outcome(
+            wire.Outcome(start.session, start.number, start.task, jobs.TaskState.NOT_RUN.value, reason.value, b"", 0)
+        )
+
+    def _begin(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+        self._starts.add_start(start)
+        task = asyncio.create_task(self._run(ledger, start))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+        task_id = ids.TaskId(start.session, start.number, start.task)
+        self._events.record("task_started", job=str(task_id.job), task=start.task)
+        try:
+            outcome = await self._runner.run(start)
+        except Exception:  # a fault of ours must neither lose the slot nor leave the task without an outcome
+            logging.exception("start of task %s", task_id)
+            unknown, reason = jobs.TaskState.UNKNOWN.value, jobs.Reason.INTERNAL_ERROR.value
+            outcome = wire.Outcome(start.session, start.number, start.task, unknown, reason, b"", 0)
+        finally:
+            self._gate.release(ledger.incarnation)
+        if outcome.state == jobs.TaskState.NOT_RUN.value:
+            self._starts.remove_start(task_id)
+        else:
+            self._starts.add_outcome(outcome)
+            self._counters.add("tasks_started", self._workspace, "")
+            self._counters.add("slot_seconds", self._workspace, "", outcome.run_ms / 1000)
+        self._counters.add(f"tasks_{outcome.state}", self._workspace, outcome.reason)
+        self._events.record("task_ended", job=str(task_id.job), task=start.task, state=outcome.state)
+        ledger.add_outcome(outcome)
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_scheduled = False
+        for ledger in self._ledgers.values():
+            credit = self._credit(ledger)
+            ledger.flush(credit)
+            # A lower credit reaches the entry with its next result, before it can start anything more.
+            if self._gate.demand(ledger.incarnation) and credit > ledger.shown_credit:
+                ledger.show_state(credit, self.serving)
+
+    def _credit(self, ledger: entry_ledger.EntryLedger) -> int:
+        return 0 if self._draining else self._gate.credit(ledger.incarnation)
--- /dev/null
+++ b/src/cactusgauge/agent/task_runner.py
@@ -0,0 +1,79 @@
+"""Starts tasks at the backend server."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from cactusgauge import ids, jobs, wire
+
+if TYPE_CHECKING:
+    from cactusgauge.agent import backend_server_lease
+
+TASK_HEADER = "Cactusgauge-Task"
+LEASE_HEADER = "Cactusgauge-Lease"
+KIND_HEADER = "Cactusgauge-Kind"
+IDEMPOTENT_HEADER = "Cactusgauge-Idempotent"
+NOT_RUN_HEADER = "Cactusgauge-Not-Run"
+PRECONDITION_FAILED = 412
+OK = 200
+MAX_RESULT_BYTES = 64 * 1024  # 340 results fit into one frame
+KEEP_ALIVE_S = 2.0  # below the usual server's, so that a pooled connection is rarely closed under a start
+MILLISECONDS_PER_SECOND = 1000
+
+
+class TaskRunner:
+    """Sends each start to the backend server once and tells how it ended.
+
+    `not_run` is reported only for a refused connection, an expired lease, or the server's own word. Every other loss
+    of an answer is `unknown`. Starts are POST requests, which aiohttp never repeats, and redirects are not followed.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, lease: "backend_server_lease.BackendServerLease") -> None:
+        self._session = session
+        self._lease = lease
+
+    async def run(self, start: wire.Start) -> wire.Outcome:
+        """Start a task and return its outcome."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        state, reason, result = await self._send(start)
+        run_ms = (loop.time() - began) * MILLISECONDS_PER_SECOND
+        return wire.Outcome(start.session, start.number, start.task, state.value, reason.value, result, run_ms)
+
+    async def _send(self, start: wire.Start) -> tuple[jobs.TaskState, jobs.Reason, bytes]:
+        lease = self._lease.valid
+        if lease is None:
+            return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
+        task_id = str(ids.TaskId(start.session, start.number, start.task))
+        headers = {
+            TASK_HEADER: task_id,
+            LEASE_HEADER: lease.id,
+            KIND_HEADER: start.kind,
+            IDEMPOTENT_HEADER: "1" if start.idempotent else "0",
+        }
+        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND)
+        try:
+            async with self._session.post(
+                lease.url, data=start.payload.encode(), headers=headers, timeout=timeout, allow_redirects=False
+            ) as response:
+                return await self._read(response)
+        except aiohttp.ClientConnectorError:
+            return jobs.TaskState.NOT_RUN, jobs.Reason.CONNECTION_REFUSED, b""
+        except TimeoutError:
+            return jobs.TaskState.UNKNOWN, jobs.Reason.DEADLINE, b""
+        except (aiohttp.ClientError, OSError):
+            return jobs.TaskState.UNKNOWN, jobs.Reason.CONNECTION_LOST, b""
+
+    @staticmethod
+    async def _read(response: aiohttp.ClientResponse) -> tuple[jobs.TaskState, jobs.Reason, bytes]:
+        if response.status == PRECONDITION_FAILED and response.headers.get(NOT_RUN_HEADER) == "1":
+            return jobs.TaskState.NOT_RUN, jobs.Reason.REFUSED_BY_BACKEND_SERVER, b""
+        body = await response.content.read(MAX_RESULT_BYTES + 1)
+        while len(body) <= MAX_RESULT_BYTES and not response.content.at_eof():
+            body += await response.content.read(MAX_RESULT_BYTES + 1 - len(body))
+        if len(body) > MAX_RESULT_BYTES:
+            return jobs.TaskState.FAILED, jobs.Reason.RESULT_TOO_LARGE, b""
+        if response.status != OK:
+            return jobs.TaskState.FAILED, jobs.Reason.BACKEND_ERROR, body
+        return jobs.TaskState.COMPLETED, jobs.Reason.NONE, body
--- /dev/null
+++ b/src/cactusgauge/console/__init__.py
@@ -0,0 +1,1 @@
+"""Console commands."""
--- /dev/null
+++ b/src/cactusgauge/console/application.py
@@ -0,0 +1,34 @@
+"""The `cactusgauge` command: client of callers and tool of operators."""
+
+import click
+
+from cactusgauge.console import (
+    account_commands,
+    config_commands,
+    job_commands,
+    load_command,
+    status_command,
+    timeline_command,
+)
+
+
+@click.group()
+@click.version_option(package_name="cactusgauge")
+def main() -> None:
+    """Submit jobs to cactusgauge and operate it."""
+
+
+for command in (
+    job_commands.job,
+    config_commands.config,
+    status_command.status,
+    timeline_command.timeline,
+    load_command.load,
+    account_commands.usage,
+    account_commands.audit,
+):
+    main.add_command(command)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cactusgauge/console/daemon.py
@@ -0,0 +1,72 @@
+"""The `cactusgauged` command: one daemon process."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import click
+from absl import logging
+
+from cactusgauge import configuration, exceptions, settings
+from cactusgauge.agent import agent_daemon
+from cactusgauge.entry import entry_daemon
+
+if TYPE_CHECKING:
+    from cactusgauge import ids
+
+EXIT_BAD_SETTINGS = 2
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help="YAML file with the settings of this process.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.version_option(package_name="cactusgauge")
+def main(settings_path: pathlib.Path, check: bool) -> None:
+    """Run one cactusgauge daemon: an entry or an agent, as the settings say."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
+    try:
+        own = settings.SettingsLoader(settings_path).load()
+        if check:
+            click.echo(f"{settings_path}: ok")
+            return
+        asyncio.run(_run(own))
+    except exceptions.SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    except BaseExceptionGroup as group:
+        bad_settings, others = group.split(exceptions.SettingsError)
+        if bad_settings is None or others is not None:
+            raise
+        click.echo(str(bad_settings.exceptions[0]), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+async def _run(own: settings.EntrySettings | settings.AgentSettings) -> None:
+    daemon: entry_daemon.EntryDaemon | agent_daemon.AgentDaemon
+    if isinstance(own, settings.EntrySettings):
+        daemon = entry_daemon.EntryDaemon(own, _config_source(own.workspaces))
+    else:
+        daemon = agent_daemon.AgentDaemon(own)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.stop)
+    await daemon.run()
+
+
+def _config_source(workspaces: "list[ids.WorkspaceName]") -> configuration.ConfigSource:
+    configs = {name: configuration.WorkspaceConfig(name=name) for name in workspaces}
+    return configuration.StaticConfigSource(configuration.Configuration(0, configs))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -0,0 +1,208 @@
+"""An entry's view of one worker, reached through the agent beside its backend server."""
+
+import collections
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge import exceptions, ids, wire
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import jobs
+
+REFUSAL_PAUSE_S = 1.0  # a worker that cannot start tasks is not asked again before its next announcement
+MILLISECONDS_PER_SECOND = 1000
+
+
+class InFlight(NamedTuple):
+    """A task sent to the worker; times are loop times in seconds."""
+
+    number: int
+    sent_at: float
+    expected_end: float
+
+
+class RemoteWorker:
+    """Credit, numbering and in-flight tasks of one agent incarnation.
+
+    The object outlives its link: after a reconnect, `resume` tells which tasks provably never arrived.
+    """
+
+    def __init__(self, hello: wire.AgentHello, data_centre: ids.DataCentreName) -> None:
+        self._name = hello.name
+        self._incarnation = hello.incarnation
+        self._slots = hello.slots
+        self._data_centre = data_centre
+        self._link: wire.Link | None = None
+        self._credit = 0
+        self._serving = False
+        self._paused_until = 0.0
+        self._last_assign_number = 0
+        self._last_result_number = 0
+        self._result_ack_due = False
+        self._unacknowledged: collections.deque[tuple[int, list[ids.TaskId]]] = collections.deque()
+        self._in_flight: dict[ids.TaskId, InFlight] = {}
+        self._lost_since: float | None = None
+        self._shown_demand = 0
+
+    @property
+    def name(self) -> ids.AgentName:
+        """Name of the agent."""
+        return self._name
+
+    @property
+    def incarnation(self) -> ids.AgentIncarnation:
+        """Incarnation of the agent."""
+        return self._incarnation
+
+    @property
+    def data_centre(self) -> ids.DataCentreName:
+        """Data centre of the worker."""
+        return self._data_centre
+
+    @property
+    def link(self) -> "wire.Link | None":
+        """The current link, or None while there is none."""
+        return self._link
+
+    @property
+    def credit(self) -> int:
+        """How many tasks of this entry may be in flight at the worker."""
+        return self._credit
+
+    @property
+    def serving(self) -> bool:
+        """Whether the agent says that its backend server takes new work."""
+        return self._serving
+
+    @property
+    def in_flight(self) -> "abc.Mapping[ids.TaskId, InFlight]":
+        """The tasks sent and not ended."""
+        return self._in_flight
+
+    @property
+    def last_result_number(self) -> int:
+        """Number of the last results message taken in."""
+        return self._last_result_number
+
+    @property
+    def lost_since(self) -> float | None:
+        """Loop time at which the link was lost, or None while there is one."""
+        return self._lost_since
+
+    @property
+    def free_slots(self) -> int:
+        """How many tasks may be sent now, link and pauses aside."""
+        return max(0, self._credit - len(self._in_flight))
+
+    @property
+    def shown_demand(self) -> int:
+        """The demand that the agent was last told."""
+        return self._shown_demand
+
+    def is_available(self, now: float) -> bool:
+        """Whether new work may be sent: linked, heard of lately, serving and not paused."""
+        return (
+            self._link is not None
+            and self._serving
+            and now >= self._paused_until
+            and now - self._link.last_received <= wire.SILENCE_S
+        )
+
+    def expected_wait_s(self, now: float) -> float:
+        """Return the expected time in seconds until a slot is free."""
+        if self.free_slots:
+            return 0.0
+        if not self._in_flight:
+            return float("inf")
+        return max(0.0, min(entry.expected_end for entry in self._in_flight.values()) - now)
+
+    def attach(self, link: "wire.Link", resume: wire.Resume) -> list[ids.TaskId]:
+        """Take a new link; return the tasks that the agent provably never received."""
+        self._link = link
+        self._lost_since = None
+        self.update_state(resume.credit, resume.serving)
+        self.acknowledge(resume.last_assign_number)
+        never_received = [task_id for _, task_ids in self._unacknowledged for task_id in task_ids]
+        self._unacknowledged.clear()
+        self._last_assign_number = resume.last_assign_number
+        self._shown_demand = 0
+        returned = [task_id for task_id in never_received if task_id in self._in_flight]
+        for task_id in returned:
+            del self._in_flight[task_id]
+        return returned
+
+    def detach(self, link: "wire.Link", now: float) -> None:
+        """Note the loss of a link; a link that was replaced meanwhile is ignored."""
+        if self._link is link:
+            self._link = None
+            self._lost_since = now
+
+    def update_state(self, credit: int, serving: bool) -> None:
+        """Take in the credit and state that the agent reported."""
+        self._credit = max(0, credit)
+        self._serving = serving
+
+    def pause(self, now: float) -> None:
+        """Send nothing for REFUSAL_PAUSE_S, after a refusal that another start would only repeat."""
+        self._paused_until = now + REFUSAL_PAUSE_S
+
+    def assign(
+        self,
+        tasks: "list[tuple[jobs.Job, jobs.Task, float]]",
+        demand: int,
+        now: float,
+    ) -> wire.Assign:
+        """Send tasks, each with its expected run time in seconds, in one message."""
+        if self._link is None:
+            raise exceptions.LinkClosedError(f"no link to agent {self._name}")
+        self._last_assign_number += 1
+        starts = [self._start(job, task, now) for job, task, _ in tasks]
+        task_ids = [ids.TaskId(start.session, start.number, start.task) for start in starts]
+        for task_id, (_, _, run_s) in zip(task_ids, tasks, strict=True):
+            self._in_flight[task_id] = InFlight(self._last_assign_number, now, now + run_s)
+        self._unacknowledged.append((self._last_assign_number, task_ids))
+        message = wire.Assign(self._last_assign_number, self._last_result_number, demand, starts)
+        self._shown_demand = demand
+        self._link.post(message)
+        return message
+
+    def acknowledge(self, assign_ack: int) -> None:
+        """Note that the agent received all assigns up to a number."""
+        while self._unacknowledged and self._unacknowledged[0][0] <= assign_ack:
+            self._unacknowledged.popleft()
+
+    def accept_results(self, results: wire.Results) -> bool:
+        """Note a results message; return False for a repeated one."""
+        if results.number <= self._last_result_number:
+            return False
+        if results.number != self._last_result_number + 1:
+            raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
+        self._last_result_number = results.number
+        self.acknowledge(results.assign_ack)
+        return True
+
+    def end(self, task_id: ids.TaskId) -> InFlight | None:
+        """Remove a task from the in-flight table; return None if it was not there."""
+        return self._in_flight.pop(task_id, None)
+
+    def abandon(self) -> list[ids.TaskId]:
+        """Give up all tasks in flight; nothing is known of them."""
+        abandoned = list(self._in_flight)
+        self._in_flight.clear()
+        return abandoned
+
+    @staticmethod
+    def _start(job: "jobs.Job", task: "jobs.Task", now: float) -> wire.Start:
+        remaining_ms = max(1, int((job.deadline - now) * MILLISECONDS_PER_SECOND))
+        return wire.Start(
+            job.id.session,
+            job.id.number,
+            task.index,
+            job.task_count,
+            job.digest,
+            task.request.kind,
+            task.request.payload,
+            task.request.idempotent,
+            remaining_ms,
+        )
--- /dev/null
+++ b/src/cactusgauge/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry role: serves callers, owns sessions, dispatches tasks."""
--- /dev/null
+++ b/src/cactusgauge/entry/caller_request.py
@@ -0,0 +1,54 @@
+"""A caller's request and the reply to it, independent of HTTP libraries."""
+
+import enum
+import json
+from typing import Any, NamedTuple
+
+from cactusgauge import exceptions, ids
+
+
+class Method(enum.Enum):
+    """What a caller asks of a job."""
+
+    SUBMIT = "PUT"
+    GET = "GET"
+    CANCEL = "DELETE"
+
+
+class Hop(enum.Enum):
+    """How a request came here; limits what may be done with it, so that requests never circle."""
+
+    CALLER = ""
+    RELAY = "relay"
+    OWNER = "owner"
+    RECOVER = "recover"
+
+
+class CallerRequest(NamedTuple):
+    """A request about one job; `wait_s` is how long the caller waits for the answer."""
+
+    method: Method
+    workspace: ids.WorkspaceName
+    job_id: ids.JobId
+    body: bytes
+    wait_s: float
+    hop: Hop
+
+
+class Reply(NamedTuple):
+    """An HTTP status with a JSON body."""
+
+    status: int
+    body: bytes
+    retry_after_s: float | None = None
+
+
+def json_reply(status: int, document: dict[str, Any]) -> Reply:
+    """Return a reply with a JSON document."""
+    return Reply(status, json.dumps(document, separators=(",", ":")).encode())
+
+
+def error_reply(error: exceptions.CactusgaugeError) -> Reply:
+    """Return the reply for an error."""
+    document = {"code": error.code, "message": str(error), "ran": error.ran.value}
+    return json_reply(error.http_status, document)._replace(retry_after_s=error.retry_after_s)
--- /dev/null
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -0,0 +1,178 @@
+"""The entry process."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import falcon.asgi
+
+from cactusgauge import configuration, http_server, ids, observability, operations_resource, wire
+from cactusgauge.entry import (
+    agent_links,
+    forwarder,
+    hand_over_store,
+    job_recovery,
+    job_service,
+    jobs_resource,
+    link_server,
+    membership,
+    peer_links,
+    request_router,
+)
+
+if TYPE_CHECKING:
+    from cactusgauge import settings
+
+SWEEP_S = 0.25
+MAX_BODY_BYTES = 16 * 1024 * 1024  # before the workspace's own limit is known
+DRAIN_CHECK_S = 0.05
+
+
+class EntryDaemon(operations_resource.DaemonState):
+    """Wires the parts of an entry together and runs them until it is stopped."""
+
+    def __init__(self, own: "settings.EntrySettings", config_source: configuration.ConfigSource) -> None:
+        self._settings = own
+        self._config_source = config_source
+        self._counters = observability.Counters()
+        self._events = observability.EventRing(own.name)
+        self._stop = asyncio.Event()
+        self._stopping = False
+        self._members = membership.Membership(
+            wire.EntryInfo(
+                ids.EntryName(own.name),
+                ids.new_entry_incarnation(),
+                own.link_url,
+                own.http_url,
+                own.data_centre,
+                own.workspaces,
+                own.size,
+                True,
+            )
+        )
+        codec = wire.FrameCodec()
+        self._service = job_service.JobService(
+            self._members.own.incarnation, config_source, self._counters, self._events
+        )
+        self._hand_overs = hand_over_store.HandOverStore()
+        self._agents = agent_links.AgentLinks(self._members, self._service, self._events)
+        self._peers = peer_links.PeerLinks(
+            self._members,
+            self._hand_overs,
+            config_source,
+            codec,
+            self._counters,
+            self._events,
+            own.seeds,
+            self._agents.broadcast_entries,
+        )
+        self._link_server = link_server.LinkServer(
+            own.host, own.link_port, codec, self._counters, self._agents, self._peers
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force and the entry is not being stopped."""
+        return self._service.is_ready and not self._stopping
+
+    @property
+    def counters(self) -> observability.Counters:
+        """The entry's counters."""
+        return self._counters
+
+    @property
+    def events(self) -> observability.EventRing:
+        """The entry's events."""
+        return self._events
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until `stop`, then drain."""
+        async with aiohttp.ClientSession() as session:
+            router = request_router.RequestRouter(
+                self._members,
+                self._service,
+                self._hand_overs,
+                job_recovery.JobRecovery(self._agents, self._events),
+                forwarder.Forwarder(session),
+            )
+            app = falcon.asgi.App()
+            operations_resource.OperationsResource(self).add_to(app)
+            jobs_resource.JobsResource(router, MAX_BODY_BYTES).add_to(app)
+            await self._run_parts(http_server.HttpServer(app, self._settings.host, self._settings.http_port))
+
+    def status(self) -> dict[str, Any]:
+        """Return the entry's view: itself, its peers, workers and queues."""
+        now = asyncio.get_running_loop().time()
+        current = self._config_source.current
+        return {
+            "role": "entry",
+            "entry": self._members.own._asdict(),
+            "ready": self.is_ready,
+            "config_version": current.version if current else None,
+            "peers": [
+                {**info._asdict(), "config_version": self._members.config_version(info.name)}
+                for info in self._members.alive_peers
+            ],
+            "workspaces": [
+                {
+                    "name": each.workspace,
+                    "preferred_entry": next((info.name for info in self._members.preferred(each.workspace)), None),
+                    "queued": each.queued_count,
+                    "running": each.running_count,
+                    "open_jobs": len(each.open_jobs),
+                    "workers": [
+                        {
+                            "agent": worker.name,
+                            "data_centre": worker.data_centre,
+                            "available": worker.is_available(now),
+                            "credit": worker.credit,
+                            "in_flight": len(worker.in_flight),
+                            "slowness": round(each.speeds.slowness(worker.name), 3),
+                        }
+                        for worker in each.workers
+                    ],
+                }
+                for each in self._service.dispatchers
+            ],
+            "sessions": len(self._service.sessions),
+            "counters": self._counters.as_rows(),
+        }
+
+    async def _run_parts(self, server: http_server.HttpServer) -> None:
+        async with asyncio.TaskGroup() as group:
+            serving = group.create_task(server.run_until_stopped())
+            background = [
+                group.create_task(self._link_server.run()),
+                group.create_task(self._peers.run()),
+                group.create_task(self._sweep_forever()),
+            ]
+            self._events.record_state("entry_started", incarnation=self._members.own.incarnation)
+            await self._stop.wait()
+            await self._drain()
+            server.stop()
+            await serving
+            for task in background:
+                task.cancel()
+        self._events.record_state("entry_stopped")
+
+    async def _drain(self) -> None:
+        self._stopping = True
+        self._service.drain()
+        self._members.set_serving(False)
+        self._peers.broadcast(self._peers.beat())
+        self._events.record_state("entry_draining", open_jobs=self._service.open_job_count)
+        await asyncio.sleep(self._settings.drain_notice_s)
+        while self._service.open_job_count:
+            await asyncio.sleep(DRAIN_CHECK_S)
+        successor = await self._peers.hand_over(self._service.hand_over_sessions())
+        name = successor.name if successor is not None else "none"
+        self._events.record_state("sessions_handed_over", successor=name, sessions=len(self._service.sessions))
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._service.sweep()
--- /dev/null
+++ b/src/cactusgauge/entry/forwarder.py
@@ -0,0 +1,78 @@
+"""Forwards callers' requests to other entries over HTTP."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from cactusgauge.entry import caller_request
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import wire
+
+HOP_HEADER = "Cactusgauge-Hop"
+CONNECT_TIMEOUT_S = 1.0
+REPLY_MARGIN_S = 3.0
+ALIVE_CHECK_S = 0.25
+
+
+class Forwarder:
+    """Sends a request to another entry; all forwarded requests are idempotent by their URL."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def forward(
+        self,
+        entry: "wire.EntryInfo",
+        request: caller_request.CallerRequest,
+        hop: caller_request.Hop,
+        is_alive: "abc.Callable[[], bool]",
+    ) -> caller_request.Reply | None:
+        """Return the other entry's reply, or None if it gave none or stopped being alive meanwhile."""
+        sending = asyncio.create_task(self._send(entry, request, hop))
+        try:
+            while not sending.done():
+                await asyncio.wait([sending], timeout=ALIVE_CHECK_S)
+                if not sending.done() and not is_alive():
+                    return None
+            return sending.result()
+        finally:
+            sending.cancel()
+
+    async def open_session(self, entry: "wire.EntryInfo", workspace: str) -> caller_request.Reply | None:
+        """Open a session at another entry; return None if it gave no reply."""
+        url = f"{entry.http_url}/v1/workspaces/{workspace}/sessions"
+        return await self._request("POST", url, b"", {}, REPLY_MARGIN_S, caller_request.Hop.OWNER)
+
+    async def _send(
+        self, entry: "wire.EntryInfo", request: caller_request.CallerRequest, hop: caller_request.Hop
+    ) -> caller_request.Reply | None:
+        session, number = request.job_id
+        url = f"{entry.http_url}/v1/workspaces/{request.workspace}/sessions/{session}/jobs/{number}"
+        params = {"wait": str(request.wait_s)}
+        timeout_s = request.wait_s + REPLY_MARGIN_S
+        return await self._request(request.method.value, url, request.body, params, timeout_s, hop)
+
+    async def _request(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        params: dict[str, str],
+        timeout_s: float,
+        hop: caller_request.Hop,
+    ) -> caller_request.Reply | None:
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        headers = {HOP_HEADER: hop.value}
+        try:
+            async with self._session.request(
+                method, url, data=body, params=params, headers=headers, timeout=timeout, allow_redirects=False
+            ) as response:
+                retry_after = response.headers.get("Retry-After")
+                retry_after_s = float(retry_after) if retry_after else None
+                return caller_request.Reply(response.status, await response.read(), retry_after_s)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
--- /dev/null
+++ b/src/cactusgauge/entry/hand_over_store.py
@@ -0,0 +1,51 @@
+"""Answers taken over from entries that were stopped."""
+
+from cactusgauge import exceptions, ids, wire
+
+MAX_HELD_BYTES = 32 * 1024 * 1024
+
+
+class HandOverStore:
+    """Sessions of stopped entries: closed for new jobs, with the answers that were still held."""
+
+    def __init__(self) -> None:
+        self._sessions: dict[ids.SessionId, wire.HandOverSession] = {}
+        self._successors: dict[ids.EntryIncarnation, ids.EntryIncarnation] = {}
+        self._held_bytes = 0
+
+    def add(self, sessions: list[wire.HandOverSession]) -> None:
+        """Hold sessions, the oldest out first when the bound on bytes is passed."""
+        for session in sessions:
+            self._sessions[session.session] = session
+            self._held_bytes += self._size(session)
+        while self._held_bytes > MAX_HELD_BYTES and len(self._sessions) > 1:
+            oldest = next(iter(self._sessions))
+            self._held_bytes -= self._size(self._sessions.pop(oldest))
+
+    def close(self, incarnation: ids.EntryIncarnation, successor: ids.EntryIncarnation) -> None:
+        """Note which entry answers for a stopped one."""
+        self._successors[incarnation] = successor
+
+    def successor(self, incarnation: ids.EntryIncarnation) -> ids.EntryIncarnation | None:
+        """Return the entry that answers for a stopped one."""
+        return self._successors.get(incarnation)
+
+    def holds(self, session: ids.SessionId) -> bool:
+        """Whether a session was taken over."""
+        return session in self._sessions
+
+    def find(self, job: ids.JobId, digest: bytes | None) -> wire.HandOverJob:
+        """Return a finished job; raise a `RequestError` for any number not held, as none of those ran later."""
+        session = self._sessions[job.session]
+        for held in session.jobs:
+            if held.number == job.number:
+                if digest is not None and held.digest != digest:
+                    raise exceptions.JobConflictError(f"job {job.number} was submitted with another body")
+                return held
+        if job.number <= session.watermark:
+            raise exceptions.JobExpiredError(f"job {job.number} is at or below the watermark {session.watermark}")
+        raise exceptions.SessionClosedError(f"the owner of session {job.session} was stopped; open a new session")
+
+    @staticmethod
+    def _size(session: wire.HandOverSession) -> int:
+        return sum(len(job.answer) for job in session.jobs)
--- /dev/null
+++ b/src/cactusgauge/entry/job_recovery.py
@@ -0,0 +1,91 @@
+"""Answers for jobs whose owner cannot be reached."""
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge import exceptions, ids, jobs, wire
+
+if TYPE_CHECKING:
+    from cactusgauge import observability
+    from cactusgauge.entry import agent_links
+
+POLL_S = 0.2
+
+
+class RecoveredJob(NamedTuple):
+    """What the agents hold of a job."""
+
+    task_count: int
+    digest: bytes
+    running: set[int]
+    outcomes: dict[int, wire.Outcome]
+
+
+class JobRecovery:
+    """Puts an answer together from the agents' records; starts nothing.
+
+    The session is sealed at every linked agent first, so that the owner, should it still run, starts nothing more of
+    it there. A task that no agent lists is reported unknown: an agent out of reach may have started it.
+    """
+
+    def __init__(self, agents: "agent_links.AgentLinks", events: "observability.EventRing") -> None:
+        self._agents = agents
+        self._events = events
+
+    async def recover(
+        self,
+        workspace: ids.WorkspaceName,
+        job_id: ids.JobId,
+        request: jobs.JobRequest | None,
+        wait_s: float,
+    ) -> jobs.Answer | None:
+        """Return the answer, or None if listed tasks still run after `wait_s` seconds.
+
+        Without the request the job must be known to an agent, else `UnknownJobError` is raised. `NotReadyError` is
+        raised if no agent answers.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        self._events.record_state("job_recovery", job=str(job_id), workspace=workspace)
+        while True:
+            found = self._merge(await self._agents.seal(workspace, job_id))
+            self._check(job_id, found, request)
+            if not found.running:
+                return self._answer(job_id, found, request)
+            if loop.time() >= end:
+                return None
+            await asyncio.sleep(POLL_S)
+
+    @staticmethod
+    def _merge(replies: list[wire.Sealed]) -> RecoveredJob:
+        if not replies:
+            raise exceptions.NotReadyError("the owner cannot be reached and no agent of the workspace answers")
+        known = [reply for reply in replies if reply.task_count]
+        return RecoveredJob(
+            task_count=max((reply.task_count for reply in known), default=0),
+            digest=next((reply.digest for reply in known), b""),
+            running={index for reply in known for index in reply.running},
+            outcomes={outcome.task: outcome for reply in known for outcome in reply.outcomes},
+        )
+
+    @staticmethod
+    def _check(job_id: ids.JobId, found: RecoveredJob, request: jobs.JobRequest | None) -> None:
+        if request is None and not found.task_count:
+            raise exceptions.UnknownJobError(f"no agent holds a record of job {job_id}")
+        if request is not None and found.task_count and found.digest != request.digest:
+            raise exceptions.JobConflictError(f"job {job_id.number} was submitted with another body")
+
+    @staticmethod
+    def _answer(job_id: ids.JobId, found: RecoveredJob, request: jobs.JobRequest | None) -> jobs.Answer:
+        task_count = len(request.tasks) if request is not None else found.task_count
+        reports = []
+        for index in range(task_count):
+            outcome = found.outcomes.get(index)
+            if outcome is None:
+                unknown = jobs.TaskState.UNKNOWN.value
+                reports.append(jobs.TaskReport(index, unknown, jobs.Reason.NO_RECORD.value, b"", 0))
+            else:
+                reports.append(jobs.TaskReport(index, outcome.state, outcome.reason, outcome.result, outcome.run_ms))
+        complete = all(report.state == jobs.TaskState.COMPLETED.value for report in reports)
+        state = jobs.JobState.COMPLETE if complete else jobs.JobState.FAILED
+        return jobs.Answer(job_id, state.value, reports, recovered=True)
--- /dev/null
+++ b/src/cactusgauge/entry/job_service.py
@@ -0,0 +1,145 @@
+"""What an entry does for the sessions that it owns."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cactusgauge import configuration, dispatch, exceptions, ids, jobs, wire
+
+if TYPE_CHECKING:
+    from cactusgauge import observability
+
+
+class JobService:
+    """Sessions, jobs and dispatchers of one entry incarnation."""
+
+    def __init__(
+        self,
+        owner: ids.EntryIncarnation,
+        config_source: configuration.ConfigSource,
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+    ) -> None:
+        self._config_source = config_source
+        self._counters = counters
+        self._events = events
+        self._sessions = jobs.SessionStore(owner)
+        self._dispatchers: dict[ids.WorkspaceName, dispatch.Dispatcher] = {}
+        self._draining = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._config_source.current is not None
+
+    @property
+    def dispatchers(self) -> list[dispatch.Dispatcher]:
+        """The dispatchers in use."""
+        return list(self._dispatchers.values())
+
+    @property
+    def sessions(self) -> list[jobs.Session]:
+        """The sessions owned."""
+        return self._sessions.sessions
+
+    @property
+    def open_job_count(self) -> int:
+        """Number of accepted jobs without a final state."""
+        return sum(len(each.open_jobs) for each in self._dispatchers.values())
+
+    def workspace_config(self, workspace: ids.WorkspaceName) -> configuration.WorkspaceConfig:
+        """Return a workspace's settings in force; raise `NotReadyError` or `UnknownWorkspaceError`."""
+        current = self._config_source.current
+        if current is None:
+            raise exceptions.NotReadyError("no configuration yet")
+        return current.workspace(workspace)
+
+    def dispatcher(self, workspace: ids.WorkspaceName) -> dispatch.Dispatcher:
+        """Return the dispatcher of a configured workspace."""
+        config = self.workspace_config(workspace)
+        found = self._dispatchers.get(workspace)
+        if found is None:
+            found = dispatch.Dispatcher(config, self._counters, self._events, self._on_finished)
+            self._dispatchers[workspace] = found
+        return found
+
+    def apply_configuration(self) -> None:
+        """Put the current configuration in force in all dispatchers."""
+        current = self._config_source.current
+        if current is None:
+            return
+        for name, found in self._dispatchers.items():
+            if name in current.workspaces:
+                found.apply(current.workspaces[name])
+
+    def parse(self, workspace: ids.WorkspaceName, body: bytes) -> jobs.JobRequest:
+        """Return the validated request of a body."""
+        config = self.workspace_config(workspace)
+        return jobs.JobRequestParser(config.max_tasks_per_job, config.max_body_bytes).parse(body)
+
+    def open_session(self, workspace: ids.WorkspaceName) -> ids.SessionId:
+        """Open a session for a configured workspace."""
+        self.workspace_config(workspace)
+        if self._draining:
+            raise exceptions.DrainingError("this entry is being stopped; use another one")
+        return self._sessions.open(workspace, asyncio.get_running_loop().time()).id
+
+    def submit(self, workspace: ids.WorkspaceName, job_id: ids.JobId, request: jobs.JobRequest) -> jobs.Job:
+        """Accept a job or attach to the one already submitted; a refusal starts nothing."""
+        config = self.workspace_config(workspace)
+        session = self._sessions.get(job_id.session, workspace)
+        now = asyncio.get_running_loop().time()
+        session.touch(now)
+        attached = session.attach(job_id.number, request.digest)
+        if attached is not None:
+            self._counters.add("jobs_resubmitted", workspace, "")
+            return attached
+        if self._draining:
+            raise exceptions.DrainingError("this entry is being stopped; open a session at another one")
+        deadline_ms = min(request.deadline_ms or config.default_deadline_ms, config.max_deadline_ms)
+        job = jobs.Job(job_id, request, now, deadline_ms)
+        self.dispatcher(workspace).admit(job)
+        session.add(job)
+        return job
+
+    def find(self, workspace: ids.WorkspaceName, job_id: ids.JobId) -> jobs.Job:
+        """Return a job; raise `UnknownJobError` if the session holds none of that number."""
+        session = self._sessions.get(job_id.session, workspace)
+        session.touch(asyncio.get_running_loop().time())
+        job = session.find(job_id.number)
+        if job is None:
+            raise exceptions.UnknownJobError(f"no job {job_id.number} in session {job_id.session}")
+        return job
+
+    def cancel(self, workspace: ids.WorkspaceName, job_id: ids.JobId) -> jobs.Job:
+        """Refuse the queued tasks of a job; running ones finish."""
+        job = self.find(workspace, job_id)
+        self.dispatcher(workspace).cancel(job)
+        return job
+
+    def drain(self) -> None:
+        """Accept no new sessions and jobs from now on."""
+        self._draining = True
+
+    def sweep(self) -> None:
+        """End what is over time."""
+        for found in self._dispatchers.values():
+            found.sweep()
+        self._sessions.expire_idle(asyncio.get_running_loop().time())
+
+    def hand_over_sessions(self) -> list[wire.HandOverSession]:
+        """Return all sessions with their finished answers, for the successor."""
+        return [
+            wire.HandOverSession(
+                session.id,
+                session.watermark,
+                [
+                    wire.HandOverJob(job.id.number, job.digest, job.answer().as_json())
+                    for job in session.jobs
+                    if job.is_finished
+                ],
+            )
+            for session in self._sessions.sessions
+        ]
+
+    def _on_finished(self, job: jobs.Job) -> None:
+        self._sessions.mark_finished(job)
--- /dev/null
+++ b/src/cactusgauge/entry/peer_links.py
@@ -0,0 +1,200 @@
+"""Links between entries."""
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import websockets.exceptions
+from websockets.asyncio import client
+
+from cactusgauge import exceptions, ids, wire
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import configuration, observability
+    from cactusgauge.entry import hand_over_store, membership
+
+REDIAL_S = 0.5
+OPEN_TIMEOUT_S = 2.0
+DIAL_CHECK_S = 0.5
+HAND_OVER_PART_BYTES = 1024 * 1024
+HAND_OVER_TIMEOUT_S = 5.0
+DRAIN_TIMEOUT_S = 1.0
+
+
+class PeerLinks:
+    """Dials the other entries, exchanges heartbeats and hands sessions over.
+
+    Each entry dials every other one that it knows, so two entries share two links; a message may come over either.
+    """
+
+    def __init__(
+        self,
+        members: "membership.Membership",
+        hand_overs: "hand_over_store.HandOverStore",
+        config_source: "configuration.ConfigSource",
+        codec: wire.FrameCodec,
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        seeds: list[str],
+        on_change: "abc.Callable[[], None]",
+    ) -> None:
+        self._members = members
+        self._hand_overs = hand_overs
+        self._config_source = config_source
+        self._codec = codec
+        self._counters = counters
+        self._events = events
+        self._seeds = seeds
+        self._on_change = on_change
+        self._links: dict[ids.EntryName, list[wire.Link]] = {}
+        self._dial_tasks: dict[str, asyncio.Task[None]] = {}
+        self._accepted: dict[ids.EntryIncarnation, asyncio.Event] = {}
+
+    async def run(self) -> None:
+        """Keep a dial task for every known address until cancelled."""
+        try:
+            while True:
+                urls = {*self._seeds, *(info.link_url for info in self._members.known)}
+                for url in urls - {self._members.own.link_url} - self._dial_tasks.keys():
+                    self._dial_tasks[url] = asyncio.create_task(self._dial_forever(url))
+                await asyncio.sleep(DIAL_CHECK_S)
+        finally:
+            for task in self._dial_tasks.values():
+                task.cancel()
+            await asyncio.gather(*self._dial_tasks.values(), return_exceptions=True)
+
+    async def serve(self, link: wire.Link, hello: wire.PeerHello) -> None:
+        """Serve a link that another entry opened."""
+        link.post(self._hello())
+        await self._exchange(link, hello)
+
+    def beat(self) -> wire.Message:
+        """Return a heartbeat with this entry's current state."""
+        return wire.PeerBeat(self._members.own, self._config_version())
+
+    def broadcast(self, message: wire.Message) -> None:
+        """Send a message to every linked entry."""
+        for links in self._links.values():
+            links[-1].post(message)
+
+    async def hand_over(self, sessions: list[wire.HandOverSession]) -> wire.EntryInfo | None:
+        """Hand all sessions to one peer and tell the others; return the peer, or None if none took them."""
+        own = self._members.own
+        for successor in self._members.alive_peers:
+            if successor.name not in self._links or not successor.serving:
+                continue
+            link = self._links[successor.name][-1]
+            accepted = self._accepted.setdefault(own.incarnation, asyncio.Event())
+            for part, last in self._parts(sessions):
+                link.post(wire.HandOver(own.incarnation, part, last))
+            try:
+                async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
+                    await accepted.wait()
+            except TimeoutError:
+                continue
+            self.broadcast(wire.HandOverDone(own.incarnation, successor.incarnation))
+            await self._drain_links()
+            return successor
+        return None
+
+    async def _drain_links(self) -> None:
+        drains = [links[-1].drain() for links in self._links.values()]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await asyncio.gather(*drains)
+
+    async def _dial_forever(self, url: str) -> None:
+        while True:
+            with contextlib.suppress(
+                OSError, TimeoutError, websockets.exceptions.WebSocketException, exceptions.CactusgaugeError
+            ):
+                await self._dial(url)
+            await asyncio.sleep(REDIAL_S)
+
+    async def _dial(self, url: str) -> None:
+        connection = await client.connect(
+            url,
+            compression=None,
+            ping_interval=None,
+            max_size=wire.MAX_FRAME_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=1,
+            proxy=None,
+        )
+        async with wire.Link(connection, self._codec, self._counters, self.beat) as link:
+            link.post(self._hello())
+            hello = await link.receive()
+            if not isinstance(hello, wire.PeerHello):
+                raise exceptions.ProtocolError("PeerHello expected")
+            await self._exchange(link, hello)
+
+    async def _exchange(self, link: wire.Link, hello: wire.PeerHello) -> None:
+        if hello.protocol != wire.PROTOCOL_VERSION:
+            raise exceptions.ProtocolError(f"protocol {hello.protocol}; this entry speaks {wire.PROTOCOL_VERSION}")
+        if hello.info.name == self._members.own.name:
+            raise exceptions.ProtocolError(f"entry name {hello.info.name!r} is in use by the dialled entry")
+        name = hello.info.name
+        self._links.setdefault(name, []).append(link)
+        for info in hello.known:
+            self._members.learn(info)
+        self._hear(hello.info, hello.config_version)
+        self._events.record_state("peer_linked", entry=name, incarnation=hello.info.incarnation)
+        try:
+            while True:
+                self._take(link, await link.receive())
+        finally:
+            self._remove(name, link)
+            self._events.record_state("peer_unlinked", entry=name)
+
+    def _take(self, link: wire.Link, message: wire.Message) -> None:
+        match message:
+            case wire.PeerBeat():
+                self._hear(message.info, message.config_version)
+            case wire.HandOver():
+                self._hand_overs.add(message.sessions)
+                if message.last:
+                    own = self._members.own.incarnation
+                    self._hand_overs.close(message.incarnation, own)
+                    self._events.record_state("hand_over_received", incarnation=message.incarnation)
+                    link.post(wire.HandOverDone(message.incarnation, own))
+            case wire.HandOverDone():
+                if message.incarnation == self._members.own.incarnation:
+                    self._accepted.setdefault(message.incarnation, asyncio.Event()).set()
+                else:
+                    self._hand_overs.close(message.incarnation, message.successor)
+            case _:
+                raise exceptions.ProtocolError(f"unexpected {type(message).__name__} from an entry")
+
+    def _hear(self, info: wire.EntryInfo, config_version: int) -> None:
+        if self._members.hear(info, config_version):
+            self._on_change()
+
+    def _remove(self, name: ids.EntryName, link: wire.Link) -> None:
+        self._links[name].remove(link)
+        if not self._links[name]:
+            del self._links[name]
+            self._members.mark_unreachable(name)
+            self._on_change()
+
+    def _hello(self) -> wire.PeerHello:
+        return wire.PeerHello(
+            wire.PROTOCOL_VERSION, self._members.own, self._config_version(), self._members.alive_peers
+        )
+
+    def _config_version(self) -> int:
+        current = self._config_source.current
+        return current.version if current is not None else -1
+
+    @staticmethod
+    def _parts(sessions: list[wire.HandOverSession]) -> "abc.Iterator[tuple[list[wire.HandOverSession], bool]]":
+        part: list[wire.HandOverSession] = []
+        size = 0
+        for session in sessions:
+            part.append(session)
+            size += sum(len(job.answer) for job in session.jobs)
+            if size >= HAND_OVER_PART_BYTES:
+                yield part, False
+                part, size = [], 0
+        yield part, True
--- /dev/null
+++ b/src/cactusgauge/entry/request_router.py
@@ -0,0 +1,139 @@
+"""Decides which process answers a caller's request."""
+
+from typing import TYPE_CHECKING
+
+from cactusgauge import exceptions, ids, jobs, wire
+from cactusgauge.entry import caller_request
+
+if TYPE_CHECKING:
+    from cactusgauge.entry import forwarder, hand_over_store, job_recovery, job_service, membership
+
+OWNER_UNREACHABLE_STATUS = 502
+
+
+class RequestRouter:
+    """Serves a request here if this entry owns the session, else finds who can.
+
+    The order is: the owner itself, a successor of a stopped owner, the owner through another entry, recovery.
+    """
+
+    def __init__(
+        self,
+        members: "membership.Membership",
+        service: "job_service.JobService",
+        hand_overs: "hand_over_store.HandOverStore",
+        recovery: "job_recovery.JobRecovery",
+        forward: "forwarder.Forwarder",
+    ) -> None:
+        self._members = members
+        self._service = service
+        self._hand_overs = hand_overs
+        self._recovery = recovery
+        self._forwarder = forward
+
+    async def open_session(self, workspace: ids.WorkspaceName, hop: caller_request.Hop) -> caller_request.Reply:
+        """Open a session at the preferred entry, or here if that one does not answer."""
+        self._service.workspace_config(workspace)
+        preferred = self._members.preferred(workspace)
+        if hop is caller_request.Hop.CALLER:
+            for entry in preferred:
+                if entry.incarnation == self._members.own.incarnation:
+                    break
+                reply = await self._forwarder.open_session(entry, workspace)
+                if reply is not None and reply.status < 500:
+                    return reply
+        session = self._service.open_session(workspace)
+        return caller_request.json_reply(201, {"session": session, "workspace": workspace})
+
+    async def handle(self, request: caller_request.CallerRequest) -> caller_request.Reply:
+        """Return the reply to a request about a job; raise a `RequestError` if it is refused."""
+        session = request.job_id.session
+        if ids.owner_of(session) == self._members.own.incarnation:
+            return await self._serve(request)
+        if self._hand_overs.holds(session):
+            return self._serve_handed_over(request)
+        reply = await self._ask_owner(request)
+        if reply is not None:
+            return reply
+        if request.hop in (caller_request.Hop.RELAY, caller_request.Hop.OWNER):
+            document = {"code": "owner_unreachable", "message": "", "ran": exceptions.Ran.UNKNOWN.value}
+            return caller_request.json_reply(OWNER_UNREACHABLE_STATUS, document)
+        if request.hop is caller_request.Hop.CALLER:
+            reply = await self._ask_through_peers(request)
+            if reply is not None:
+                return reply
+        if self._members.find_alive(ids.owner_of(session)) is not None:
+            # A slow owner must not lose its session to a recovery.
+            raise exceptions.OwnerSlowError("the owner of the session did not answer in time; ask again")
+        return await self._recover(request)
+
+    async def _serve(self, request: caller_request.CallerRequest) -> caller_request.Reply:
+        workspace, job_id = request.workspace, request.job_id
+        match request.method:
+            case caller_request.Method.SUBMIT:
+                job = self._service.submit(workspace, job_id, self._service.parse(workspace, request.body))
+            case caller_request.Method.GET:
+                job = self._service.find(workspace, job_id)
+            case caller_request.Method.CANCEL:
+                job = self._service.cancel(workspace, job_id)
+        if await job.wait_finished(request.wait_s):
+            return caller_request.Reply(200, job.answer().as_json())
+        return self._running(job_id, job.open_count)
+
+    def _serve_handed_over(self, request: caller_request.CallerRequest) -> caller_request.Reply:
+        digest = None
+        if request.method is caller_request.Method.SUBMIT:
+            digest = self._service.parse(request.workspace, request.body).digest
+        return caller_request.Reply(200, self._hand_overs.find(request.job_id, digest).answer)
+
+    async def _ask_owner(self, request: caller_request.CallerRequest) -> caller_request.Reply | None:
+        if request.hop is caller_request.Hop.OWNER:
+            return None
+        owner = ids.owner_of(request.job_id.session)
+        target = self._hand_overs.successor(owner) or owner
+        entry = self._members.find_alive(target)
+        if entry is None:
+            return None
+        reply = await self._forward(entry, request, caller_request.Hop.OWNER)
+        if reply is not None and reply.status == OWNER_UNREACHABLE_STATUS:
+            return None
+        return reply
+
+    async def _ask_through_peers(self, request: caller_request.CallerRequest) -> caller_request.Reply | None:
+        for entry in self._members.alive_peers:
+            reply = await self._forward(entry, request, caller_request.Hop.RELAY)
+            if reply is not None and reply.status != OWNER_UNREACHABLE_STATUS:
+                return reply
+        return None
+
+    async def _recover(self, request: caller_request.CallerRequest) -> caller_request.Reply:
+        workspace = request.workspace
+        linked = any(worker.link for worker in self._service.dispatcher(workspace).workers)
+        if not linked and request.hop is caller_request.Hop.CALLER:
+            for entry in self._members.preferred(workspace):
+                if entry.incarnation == self._members.own.incarnation:
+                    continue
+                reply = await self._forward(entry, request, caller_request.Hop.RECOVER)
+                if reply is not None:
+                    return reply
+        job_request: jobs.JobRequest | None = None
+        if request.method is caller_request.Method.SUBMIT:
+            job_request = self._service.parse(workspace, request.body)
+        answer = await self._recovery.recover(workspace, request.job_id, job_request, request.wait_s)
+        if answer is None:
+            return self._running(request.job_id, 0)
+        return caller_request.Reply(200, answer.as_json())
+
+    async def _forward(
+        self, entry: wire.EntryInfo, request: caller_request.CallerRequest, hop: caller_request.Hop
+    ) -> caller_request.Reply | None:
+        def is_alive() -> bool:
+            return self._members.find_alive(entry.incarnation) is not None
+
+        return await self._forwarder.forward(entry, request, hop, is_alive)
+
+    @staticmethod
+    def _running(job_id: ids.JobId, open_count: int) -> caller_request.Reply:
+        state = jobs.JobState.RUNNING.value
+        document = {"session": job_id.session, "job": job_id.number, "state": state, "open_tasks": open_count}
+        return caller_request.json_reply(202, document)
--- /dev/null
+++ b/src/cactusgauge/exceptions.py
@@ -0,0 +1,142 @@
+"""Exceptions with stable codes.
+
+Every exception that can reach a caller carries a code, an HTTP status and what is known about execution.
+"""
+
+import enum
+
+
+class Ran(enum.Enum):
+    """What a refusal says about the execution of the request."""
+
+    NOTHING = "nothing"
+    UNKNOWN = "unknown"
+
+
+class CactusgaugeError(Exception):
+    """Base of all errors of this package; `code` is stable across releases."""
+
+    code = "internal"
+    http_status = 500
+    ran = Ran.UNKNOWN
+    retry_after_s: float | None = None
+
+
+class ProtocolError(CactusgaugeError):
+    """A peer sent a frame that violates the protocol; its connection is closed."""
+
+    code = "protocol_error"
+
+
+class LinkClosedError(CactusgaugeError):
+    """The connection to a peer process is closed."""
+
+    code = "link_closed"
+
+
+class SettingsError(CactusgaugeError):
+    """Settings have findings; the message lists all of them."""
+
+    code = "bad_settings"
+
+
+class LogServiceError(CactusgaugeError):
+    """The platform's log did not answer; an append may or may not have taken effect."""
+
+    code = "log_unavailable"
+
+
+class RequestError(CactusgaugeError):
+    """A caller's request is refused and nothing of it ran."""
+
+    code = "bad_request"
+    http_status = 400
+    ran = Ran.NOTHING
+
+
+class BodyTooLargeError(RequestError):
+    """The body exceeds the workspace's limit in bytes."""
+
+    code = "body_too_large"
+    http_status = 413
+
+
+class TooManyTasksError(RequestError):
+    """The job exceeds the workspace's limit on tasks."""
+
+    code = "too_many_tasks"
+    http_status = 413
+
+
+class UnknownWorkspaceError(RequestError):
+    """No configuration in force names the workspace."""
+
+    code = "unknown_workspace"
+    http_status = 404
+
+
+class UnknownJobError(RequestError):
+    """The session holds no job of that number."""
+
+    code = "unknown_job"
+    http_status = 404
+
+
+class SessionExpiredError(RequestError):
+    """The owner no longer holds the session."""
+
+    code = "session_expired"
+    http_status = 410
+
+
+class SessionClosedError(RequestError):
+    """The owner was stopped; its sessions accept no new jobs."""
+
+    code = "session_closed"
+    http_status = 410
+
+
+class JobExpiredError(RequestError):
+    """The job's number is at or below the watermark and its answer is no longer held."""
+
+    code = "job_expired"
+    http_status = 410
+
+
+class JobConflictError(RequestError):
+    """The job's number was used with another body."""
+
+    code = "job_conflict"
+    http_status = 409
+
+
+class OverloadedError(RequestError):
+    """The workspace's queue is full."""
+
+    code = "overloaded"
+    http_status = 503
+    retry_after_s = 1.0
+
+
+class DrainingError(RequestError):
+    """The entry is being stopped and accepts no new work."""
+
+    code = "draining"
+    http_status = 503
+    retry_after_s = 0.0
+
+
+class NotReadyError(RequestError):
+    """The entry has no configuration yet."""
+
+    code = "not_ready"
+    http_status = 503
+    retry_after_s = 1.0
+
+
+class OwnerSlowError(CactusgaugeError):
+    """The owner of a session is alive but did not answer in time."""
+
+    code = "owner_slow"
+    http_status = 504
+    retry_after_s = 1.0
--- /dev/null
+++ b/src/cactusgauge/http_server.py
@@ -0,0 +1,52 @@
+"""Runs a falcon application on uvicorn inside a daemon."""
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+from cactusgauge import exceptions
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    import falcon.asgi
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 30
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    def __init__(self, app: "falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]", host: str, port: int) -> None:
+        super().__init__(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=port,
+                log_config=None,
+                access_log=False,
+                lifespan="off",
+                backlog=BACKLOG,
+                timeout_keep_alive=KEEP_ALIVE_S,
+            )
+        )
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> "abc.Generator[None]":
+        """Do nothing: the daemon handles SIGTERM and SIGINT."""
+        yield
+
+    async def run_until_stopped(self) -> None:
+        """Serve until `stop`; raise `SettingsError` if the port cannot be bound."""
+        try:
+            await self.serve()
+        except SystemExit as error:
+            raise exceptions.SettingsError(
+                f"cannot listen on {self.config.host}:{self.config.port}; is the port in use?"
+            ) from error
+
+    def stop(self) -> None:
+        """Stop accepting connections and return from `run_until_stopped` once open requests are answered."""
+        self.should_exit = True
--- /dev/null
+++ b/src/cactusgauge/jobs/job.py
@@ -0,0 +1,177 @@
+"""A job: the aggregate that decides what may happen to its tasks."""
+
+import asyncio
+import collections
+import enum
+
+from cactusgauge import ids
+from cactusgauge.jobs import answer, job_request, task
+
+MILLISECONDS_PER_SECOND = 1000
+TASK_OVERHEAD_BYTES = 600  # a task object, its request and its queue entry
+
+
+class JobState(enum.Enum):
+    """State of a job; the last two are final."""
+
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+
+
+class Job:
+    """A submitted job of an owned session.
+
+    Times are event loop times in seconds. A task leaves the queue once and returns only through
+    `return_to_queue`, which needs a proof that it did not run.
+    """
+
+    def __init__(
+        self, job_id: ids.JobId, request: job_request.JobRequest, accepted_at: float, deadline_ms: int
+    ) -> None:
+        self._id = job_id
+        self._digest = request.digest
+        self._tasks = [task.Task(index, task_request) for index, task_request in enumerate(request.tasks)]
+        self._queue = collections.deque(range(len(self._tasks)))
+        self._open_count = len(self._tasks)
+        self._accepted_at = accepted_at
+        self._deadline = accepted_at + deadline_ms / MILLISECONDS_PER_SECOND
+        self._finished = asyncio.Event()
+        self._finished_at: float | None = None
+
+    @property
+    def id(self) -> ids.JobId:
+        """The job's id."""
+        return self._id
+
+    @property
+    def digest(self) -> bytes:
+        """Digest of the submitted body."""
+        return self._digest
+
+    @property
+    def accepted_at(self) -> float:
+        """Loop time of the submission."""
+        return self._accepted_at
+
+    @property
+    def deadline(self) -> float:
+        """Loop time after which no task of the job is started."""
+        return self._deadline
+
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of the job."""
+        return len(self._tasks)
+
+    @property
+    def queued_count(self) -> int:
+        """Number of tasks that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def open_count(self) -> int:
+        """Number of tasks without a final state."""
+        return self._open_count
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether every task has a final state."""
+        return self._open_count == 0
+
+    @property
+    def finished_at(self) -> float | None:
+        """Loop time at which the last task ended."""
+        return self._finished_at
+
+    @property
+    def state(self) -> JobState:
+        """The job's state, derived from its tasks."""
+        if self._open_count:
+            return JobState.RUNNING
+        if all(each.state is task.TaskState.COMPLETED for each in self._tasks):
+            return JobState.COMPLETE
+        return JobState.FAILED
+
+    @property
+    def held_bytes(self) -> int:
+        """Approximate memory of the job: payloads, results and TASK_OVERHEAD_BYTES for each task."""
+        return sum(len(each.request.payload) + len(each.result) + TASK_OVERHEAD_BYTES for each in self._tasks)
+
+    @property
+    def queued_tasks(self) -> list[task.Task]:
+        """The tasks that wait for a slot, next one first."""
+        return [self._tasks[index] for index in self._queue]
+
+    def next_task(self) -> task.Task:
+        """Return the task that is sent next; the queue must not be empty."""
+        return self._tasks[self._queue[0]]
+
+    def task_at(self, index: int) -> task.Task:
+        """Return the task of an index."""
+        return self._tasks[index]
+
+    def send(self, index: int) -> task.Task:
+        """Take a task from the queue because it is being sent to an agent."""
+        chosen = self._tasks[index]
+        if chosen.state is not task.TaskState.QUEUED:
+            raise ValueError(f"task {index} of job {self._id} is {chosen.state.value}, not queued")
+        self._queue.remove(index)
+        chosen.state = task.TaskState.SENT
+        return chosen
+
+    def return_to_queue(self, index: int) -> bool:
+        """Queue a sent task again, as it provably did not run; return whether it was still open."""
+        returned = self._tasks[index]
+        if returned.state is not task.TaskState.SENT:
+            return False
+        returned.state = task.TaskState.QUEUED
+        self._queue.appendleft(index)
+        return True
+
+    def finish_task(
+        self, index: int, state: task.TaskState, now: float, reason: str = "", result: bytes = b"", run_ms: float = 0
+    ) -> bool:
+        """Give a task its final state; return False if it already had one."""
+        ended = self._tasks[index]
+        if ended.state.is_final:
+            return False
+        if ended.state is task.TaskState.QUEUED:
+            self._queue.remove(index)
+        ended.state = state
+        ended.reason = reason
+        ended.result = result
+        ended.run_ms = run_ms
+        self._open_count -= 1
+        if not self._open_count:
+            self._finished_at = now
+            self._finished.set()
+        return True
+
+    def refuse_queued(self, reason: task.Reason, now: float) -> int:
+        """End all queued tasks as `not_run`; return how many."""
+        indices = list(self._queue)
+        for index in indices:
+            self.finish_task(index, task.TaskState.NOT_RUN, now, reason.value)
+        return len(indices)
+
+    async def wait_finished(self, timeout_s: float) -> bool:
+        """Wait up to `timeout_s` seconds for the end of the job; return whether it ended."""
+        if self.is_finished:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._finished.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def answer(self) -> answer.Answer:
+        """Return the whole answer; the job must be finished."""
+        if not self.is_finished:
+            raise ValueError(f"job {self._id} still has {self._open_count} open tasks")
+        reports = [
+            answer.TaskReport(each.index, each.state.value, each.reason, each.result, each.run_ms)
+            for each in self._tasks
+        ]
+        return answer.Answer(self._id, self.state.value, reports)
--- /dev/null
+++ b/src/cactusgauge/jobs/session_store.py
@@ -0,0 +1,81 @@
+"""All sessions that an entry owns."""
+
+from typing import TYPE_CHECKING
+
+from cactusgauge import exceptions, ids
+from cactusgauge.jobs import session as session_module
+
+if TYPE_CHECKING:
+    from cactusgauge.jobs import job as job_module
+
+MAX_SESSIONS = 20_000
+IDLE_SESSION_S = 900.0
+MAX_FINISHED_BYTES = 64 * 1024 * 1024  # a quarter of the 256 MB that a node may use
+
+
+class SessionStore:
+    """Sessions of one entry incarnation, bounded in number; idle ones expire."""
+
+    def __init__(
+        self,
+        owner: ids.EntryIncarnation,
+        max_sessions: int = MAX_SESSIONS,
+        max_finished_bytes: int = MAX_FINISHED_BYTES,
+    ) -> None:
+        self._owner = owner
+        self._max_sessions = max_sessions
+        self._max_finished_bytes = max_finished_bytes
+        self._finished: dict[ids.JobId, int] = {}
+        self._finished_bytes = 0
+        self._sessions: dict[ids.SessionId, session_module.Session] = {}
+
+    @property
+    def sessions(self) -> list[session_module.Session]:
+        """All sessions held."""
+        return list(self._sessions.values())
+
+    def open(self, workspace: ids.WorkspaceName, now: float) -> session_module.Session:
+        """Open a session; raise `OverloadedError` if the store is full of sessions in use."""
+        if len(self._sessions) >= self._max_sessions:
+            self.expire_idle(now)
+        if len(self._sessions) >= self._max_sessions:
+            raise exceptions.OverloadedError(f"{len(self._sessions)} sessions are open")
+        opened = session_module.Session(ids.new_session_id(self._owner), workspace, now)
+        self._sessions[opened.id] = opened
+        return opened
+
+    def get(self, session_id: ids.SessionId, workspace: ids.WorkspaceName) -> session_module.Session:
+        """Return a session; raise `SessionExpiredError` if it is not held for that workspace."""
+        found = self._sessions.get(session_id)
+        if found is None or found.workspace != workspace:
+            raise exceptions.SessionExpiredError(f"session {session_id} is not held here; open a new one")
+        return found
+
+    def mark_finished(self, job: "job_module.Job") -> None:
+        """Count a finished job against the bounds of its session and of the store, oldest out first."""
+        session = self._sessions.get(job.id.session)
+        if session is None:
+            return
+        session.mark_finished(job.id.number)
+        self._finished[job.id] = job.held_bytes
+        self._finished_bytes += job.held_bytes
+        while self._finished_bytes > self._max_finished_bytes and len(self._finished) > 1:
+            self._evict_oldest()
+
+    def _evict_oldest(self) -> None:
+        job_id = next(iter(self._finished))
+        self._finished_bytes -= self._finished.pop(job_id)
+        session = self._sessions.get(job_id.session)
+        if session is not None:
+            session.evict(job_id.number)
+
+    def expire_idle(self, now: float) -> int:
+        """Drop sessions without open jobs that were not used for IDLE_SESSION_S; return how many."""
+        idle = [
+            held.id
+            for held in self._sessions.values()
+            if not held.has_open_jobs and now - held.last_used > IDLE_SESSION_S
+        ]
+        for session_id in idle:
+            del self._sessions[session_id]
+        return len(idle)
--- /dev/null
+++ b/src/cactusgauge/operations_resource.py
@@ -0,0 +1,79 @@
+"""HTTP resources for operation that both daemons serve."""
+
+import abc
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+    from cactusgauge import observability
+
+HEALTH_PATH = "/healthz"
+READINESS_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+STATUS_PATH = "/v1/status"
+EVENTS_PATH = "/v1/events"
+
+
+class DaemonState(abc.ABC):
+    """What a daemon tells about itself."""
+
+    @property
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Whether the daemon takes new work."""
+
+    @property
+    @abc.abstractmethod
+    def counters(self) -> "observability.Counters":
+        """The daemon's counters."""
+
+    @property
+    @abc.abstractmethod
+    def events(self) -> "observability.EventRing":
+        """The daemon's events."""
+
+    @abc.abstractmethod
+    def status(self) -> dict[str, Any]:
+        """Return the daemon's state as a JSON object."""
+
+
+class OperationsResource:
+    """Health, readiness, metrics, status and events."""
+
+    def __init__(self, state: DaemonState) -> None:
+        self._state = state
+
+    def add_to(self, app: "falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]") -> None:
+        """Add all routes to an application."""
+        app.add_route(HEALTH_PATH, self, suffix="health")
+        app.add_route(READINESS_PATH, self, suffix="readiness")
+        app.add_route(METRICS_PATH, self, suffix="metrics")
+        app.add_route(STATUS_PATH, self, suffix="status")
+        app.add_route(EVENTS_PATH, self, suffix="events")
+
+    async def on_get_health(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Answer 200 while the process runs."""
+        response.media = {"healthy": True}
+
+    async def on_get_readiness(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Answer 200 while new work is taken, else 503."""
+        response.status = 200 if self._state.is_ready else 503
+        response.media = {"ready": self._state.is_ready}
+
+    async def on_get_metrics(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Answer with the metrics in the Prometheus text format."""
+        response.content_type = "text/plain; version=0.0.4"
+        response.data = self._state.counters.exposition()
+
+    async def on_get_status(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Answer with the daemon's state."""
+        response.media = self._state.status()
+
+    async def on_get_events(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Answer with the events after `?after=NUMBER` as JSON lines."""
+        after = request.get_param_as_int("after", default=0)
+        lines = [json.dumps(event._asdict()) for event in self._state.events.since(after)]
+        response.content_type = "application/jsonl"
+        response.text = "".join(f"{line}\n" for line in lines)
--- /dev/null
+++ b/src/cactusgauge/rendezvous.py
@@ -0,0 +1,25 @@
+"""Weighted rendezvous hashing of workspaces over entries."""
+
+import math
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import ids, wire
+
+HASH_RANGE = 2**64
+
+
+def score(workspace: "ids.WorkspaceName", entry: "wire.EntryInfo") -> float:
+    """Return the weighted rendezvous score of an entry for a workspace; the highest score is preferred."""
+    fraction = (xxhash.xxh3_64_intdigest(f"{workspace}|{entry.name}".encode()) + 0.5) / HASH_RANGE
+    return -entry.weight / math.log(fraction)
+
+
+def rank(workspace: "ids.WorkspaceName", entries: "abc.Iterable[wire.EntryInfo]") -> "list[wire.EntryInfo]":
+    """Return the entries that serve a workspace, the preferred one first."""
+    candidates = [entry for entry in entries if workspace in entry.workspaces]
+    return sorted(candidates, key=lambda entry: (-score(workspace, entry), entry.name))
--- /dev/null
+++ b/src/cactusgauge/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings of the daemons, read from YAML."""
+
+from cactusgauge.settings.daemon_settings import AgentSettings, DaemonSettings, EntrySettings
+from cactusgauge.settings.finding import Finding
+from cactusgauge.settings.settings_loader import SettingsLoader
+
+__all__ = ["AgentSettings", "DaemonSettings", "EntrySettings", "Finding", "SettingsLoader"]
--- /dev/null
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -0,0 +1,70 @@
+"""Settings of the two daemon roles."""
+
+import ipaddress
+from typing import Annotated, Literal
+
+import pydantic
+
+from cactusgauge import ids
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+MAX_PORT = 65535
+
+
+def _check_host(host: str) -> str:
+    ipaddress.ip_address(host)
+    return host
+
+
+def _check_link_url(url: str) -> str:
+    if not url.startswith("ws://"):
+        raise ValueError("a URL of the form ws://IP:PORT is expected")
+    return url
+
+
+Host = Annotated[str, pydantic.AfterValidator(_check_host)]
+LinkUrl = Annotated[str, pydantic.AfterValidator(_check_link_url)]
+Port = Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
+
+
+class DaemonSettings(pydantic.BaseModel):
+    """Settings that both roles have; unknown keys are findings."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    name: str = pydantic.Field(pattern=NAME_PATTERN)
+    data_centre: ids.DataCentreName
+    host: Host
+    http_port: Port
+    seeds: list[LinkUrl] = []
+    drain_notice_s: float = pydantic.Field(default=1.0, ge=0)
+
+    @property
+    def http_url(self) -> str:
+        """URL under which other processes reach this one's HTTP interface."""
+        return f"http://{self.host}:{self.http_port}"
+
+
+class EntrySettings(DaemonSettings):
+    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing."""
+
+    role: Literal["entry"]
+    link_port: Port
+    workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
+    size: float = pydantic.Field(default=1.0, gt=0)
+    log_url: str | None = None
+
+    @property
+    def link_url(self) -> str:
+        """URL under which agents and other entries open links."""
+        return f"ws://{self.host}:{self.link_port}"
+
+
+class AgentSettings(DaemonSettings):
+    """Settings of an agent; `slots` and `connections` are hard limits towards its backend server."""
+
+    role: Literal["agent"]
+    workspace: ids.WorkspaceName
+    slots: int = pydantic.Field(default=8, ge=1)
+    connections: int = pydantic.Field(default=64, ge=1)
+    links_per_agent: int = pydantic.Field(default=3, ge=1)
--- /dev/null
+++ b/src/cactusgauge/wire/codec.py
@@ -0,0 +1,52 @@
+"""CBOR codec of the messages."""
+
+from typing import TYPE_CHECKING, Any
+
+import cbor2
+import pydantic
+
+from cactusgauge import exceptions
+from cactusgauge.wire import messages
+
+if TYPE_CHECKING:
+    from collections import abc
+
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+
+
+class FrameCodec:
+    """Encodes messages as CBOR arrays `[kind, *fields]` and validates what it decodes."""
+
+    def __init__(self) -> None:
+        self._kind_numbers = {kind: number for number, kind in enumerate(messages.KINDS)}
+        self._adapters: list[pydantic.TypeAdapter[messages.Message]] = [
+            pydantic.TypeAdapter(kind) for kind in messages.KINDS
+        ]
+
+    def encode(self, message: messages.Message) -> bytes:
+        """Return the frame of a message."""
+        return cbor2.dumps([self._kind_numbers[type(message)], *message])
+
+    def decode(self, frame: bytes | str) -> messages.Message:
+        """Return the message of a frame; raise `ProtocolError` if it is malformed or of an unknown kind."""
+        if isinstance(frame, str):
+            raise exceptions.ProtocolError("text frame where a binary frame is expected")
+        fields = self._load(frame)
+        kind = fields[0]
+        if type(kind) is not int or not 0 <= kind < len(self._adapters):
+            raise exceptions.ProtocolError(f"unknown message kind {kind!r}")
+        try:
+            return self._adapters[kind].validate_python(fields[1:])
+        except pydantic.ValidationError as error:
+            name = messages.KINDS[kind].__name__
+            raise exceptions.ProtocolError(f"malformed {name}: {error.error_count()} findings") from error
+
+    @staticmethod
+    def _load(frame: bytes) -> "abc.Sequence[Any]":
+        try:
+            fields = cbor2.loads(frame)
+        except (cbor2.CBORDecodeError, ValueError, TypeError, OverflowError, RecursionError, MemoryError) as error:
+            raise exceptions.ProtocolError(f"frame is not CBOR: {error}") from error
+        if not isinstance(fields, list) or not fields:
+            raise exceptions.ProtocolError("frame is not a non-empty array")
+        return fields
--- /dev/null
+++ b/src/cactusgauge/wire/link.py
@@ -0,0 +1,145 @@
+"""A connection between two of our processes."""
+
+import asyncio
+import collections
+import contextlib
+from typing import TYPE_CHECKING, Self
+
+import websockets.exceptions
+
+from cactusgauge import exceptions
+from cactusgauge.wire import codec as codec_module
+
+if TYPE_CHECKING:
+    from collections import abc
+    from types import TracebackType
+
+    from websockets.asyncio import connection as connection_module
+
+    from cactusgauge import observability
+    from cactusgauge.wire import messages
+
+HEARTBEAT_S = 1.0
+SILENCE_S = 3.0  # three lost heartbeats; also the bound on work for a backend server that is leaving
+GRACE_AFTER_PAUSE_S = 0.2  # a process that was itself paused first reads what arrived meanwhile
+CLOSE_REASON_BYTES = 120  # a close frame holds at most 123 bytes of reason
+
+
+class Link:
+    """Sends and receives typed messages over one WebSocket connection.
+
+    Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. The
+    writer sends a heartbeat after HEARTBEAT_S without a message and aborts the connection after SILENCE_S without
+    a message from the peer.
+    """
+
+    def __init__(
+        self,
+        connection: "connection_module.Connection",
+        codec: codec_module.FrameCodec,
+        counters: "observability.Counters",
+        heartbeat: "abc.Callable[[], messages.Message]",
+    ) -> None:
+        self._connection = connection
+        self._codec = codec
+        self._counters = counters
+        self._heartbeat = heartbeat
+        self._outbox: collections.deque[messages.Message] = collections.deque()
+        self._wake = asyncio.Event()
+        self._writer: asyncio.Task[None] | None = None
+        self._last_received = asyncio.get_running_loop().time()
+        self.workspace = ""
+
+    @property
+    def last_received(self) -> float:
+        """Loop time in seconds at which the last message arrived."""
+        return self._last_received
+
+    async def __aenter__(self) -> Self:
+        self._writer = asyncio.create_task(self._write())
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: "TracebackType | None"
+    ) -> None:
+        if self._writer is not None:
+            self._writer.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._writer
+        if isinstance(error, exceptions.ProtocolError):
+            await self.close(str(error), code=1002)
+        else:
+            await self.close("closed")
+
+    def post(self, message: "messages.Message") -> None:
+        """Queue a message for sending; order is kept."""
+        self._outbox.append(message)
+        self._wake.set()
+
+    async def receive(self) -> "messages.Message":
+        """Return the next message; raise `LinkClosedError` at the end and `ProtocolError` for a bad frame."""
+        try:
+            frame = await self._connection.recv()
+        except websockets.exceptions.ConnectionClosed as error:
+            raise exceptions.LinkClosedError(str(error)) from error
+        self._last_received = asyncio.get_running_loop().time()
+        try:
+            message = self._codec.decode(frame)
+        except exceptions.ProtocolError:
+            self._counters.add("bad_frames", self.workspace, "")
+            raise
+        name = type(message).__name__
+        self._counters.add("messages_received", self.workspace, name)
+        self._counters.add("bytes_received", self.workspace, name, len(frame))
+        return message
+
+    async def drain(self) -> None:
+        """Wait until every posted message was handed to the transport."""
+        while self._outbox:
+            await asyncio.sleep(0.01)
+
+    async def close(self, reason: str, code: int = 1000) -> None:
+        """Close the connection and tell the peer why."""
+        self._wake.set()
+        short_reason = reason.encode()[:CLOSE_REASON_BYTES].decode(errors="ignore")
+        with contextlib.suppress(OSError, websockets.exceptions.WebSocketException):
+            await self._connection.close(code, short_reason)
+
+    def abort(self) -> None:
+        """Drop the connection at once, without a close handshake."""
+        self._connection.transport.abort()
+
+    async def _write(self) -> None:
+        with contextlib.suppress(websockets.exceptions.ConnectionClosed):
+            while True:
+                await self._send_outbox()
+                await self._wait_for_message()
+
+    async def _send_outbox(self) -> None:
+        while self._outbox:
+            message = self._outbox[0]
+            frame = self._codec.encode(message)
+            await self._connection.send(frame)
+            self._outbox.popleft()
+            name = type(message).__name__
+            self._counters.add("messages_sent", self.workspace, name)
+            self._counters.add("bytes_sent", self.workspace, name, len(frame))
+
+    async def _wait_for_message(self) -> None:
+        self._wake.clear()
+        if self._outbox:
+            return
+        try:
+            async with asyncio.timeout(HEARTBEAT_S):
+                await self._wake.wait()
+        except TimeoutError:
+            self._outbox.append(self._heartbeat())
+            await self._abort_if_silent()
+
+    async def _abort_if_silent(self) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._last_received <= SILENCE_S:
+            return
+        await asyncio.sleep(GRACE_AFTER_PAUSE_S)
+        if loop.time() - self._last_received > SILENCE_S:
+            self.abort()
--- /dev/null
+++ b/src/emulator/backend_server.py
@@ -0,0 +1,163 @@
+"""A backend server: runs tasks by sleeping, announces itself to its agent and counts what it saw.
+
+Payload of a task: a JSON object such as `{"run_ms": 50, "result": "ok"}`; `run_ms` is the time on a server of speed 1.
+"""
+
+import asyncio
+import collections
+import contextlib
+import json
+import random
+import signal
+from typing import Any, NamedTuple
+
+import aiohttp
+import click
+import falcon.asgi
+
+from cactusgauge import http_server
+from cactusgauge.agent import backend_server_resource, task_runner
+
+RENEW_S = 0.5
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Faults(NamedTuple):
+    """Faults to cause, each as a probability per task."""
+
+    fail: float = 0.0
+    drop: float = 0.0
+    refuse: float = 0.0
+    straggle: float = 0.0
+
+
+class BackendServer:
+    """Runs tasks and records every start by task id."""
+
+    def __init__(self, name: str, speed: float, slots: int, seed: int, faults: Faults) -> None:
+        self._name = name
+        self._speed = speed
+        self._slots = slots
+        self._random = random.Random(seed)
+        self._faults = faults
+        self._starts: collections.Counter[str] = collections.Counter()
+        self._ended: dict[str, str] = {}
+        self._running = 0
+        self._max_running = 0
+        self._left_at: float | None = None
+        self._late_starts = 0
+        self.lease = ""
+
+    def report(self) -> dict[str, Any]:
+        """Return what the server saw: all starts by task id, and the most tasks that ran at once."""
+        return {
+            "name": self._name,
+            "starts": dict(self._starts),
+            "ended": self._ended,
+            "running": self._running,
+            "max_running": self._max_running,
+            "slots": self._slots,
+        }
+
+    async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Run one task."""
+        task_id = request.get_header(task_runner.TASK_HEADER, required=True)
+        body = await request.stream.read()
+        stale = bool(self.lease) and request.get_header(task_runner.LEASE_HEADER) != self.lease
+        if stale or self._random.random() < self._faults.refuse:
+            response.status = task_runner.PRECONDITION_FAILED
+            response.set_header(task_runner.NOT_RUN_HEADER, "1")
+            return
+        self._starts[task_id] += 1
+        self._running += 1
+        self._max_running = max(self._max_running, self._running)
+        try:
+            await self._run(task_id, body, response)
+        finally:
+            self._running -= 1
+
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Answer with the report."""
+        response.media = self.report()
+
+    async def _run(self, task_id: str, body: bytes, response: falcon.asgi.Response) -> None:
+        work = json.loads(body) if body else {}
+        run_s = work.get("run_ms", 0) / MILLISECONDS_PER_SECOND / self._speed
+        if self._random.random() < self._faults.straggle:
+            run_s *= 10
+        failing = self._random.random() < self._faults.fail
+        if not failing:
+            await asyncio.sleep(run_s)
+        self._ended[task_id] = "failed" if failing else "completed"
+        if self._random.random() < self._faults.drop:
+            raise ConnectionAbortedError("dropped answer")
+        response.status = 500 if failing else 200
+        response.text = work.get("result", "ok")
+
+
+async def _announce(server: BackendServer, name: str, url: str, agent_url: str) -> None:
+    announce_url = f"{agent_url}{backend_server_resource.BACKEND_SERVER_PATH}"
+    async with aiohttp.ClientSession() as session:
+        try:
+            while True:
+                body = {"name": name, "url": url, "lease": server.lease or None}
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    timeout = aiohttp.ClientTimeout(total=1)
+                    async with session.put(announce_url, json=body, timeout=timeout) as response:
+                        server.lease = (await response.json())["lease"]
+                await asyncio.sleep(RENEW_S)
+        finally:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                await session.delete(announce_url, params={"lease": server.lease})
+
+
+async def _serve(server: BackendServer, name: str, host: str, port: int, agent_url: str) -> None:
+    app = falcon.asgi.App()
+    app.add_route("/task", server)
+    app.add_route("/report", server)
+    listener = http_server.HttpServer(app, host, port)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    serving = asyncio.create_task(listener.run_until_stopped())
+    announcing = asyncio.create_task(_announce(server, name, f"http://{host}:{port}/task", agent_url))
+    await stop.wait()
+    announcing.cancel()
+    await asyncio.gather(announcing, return_exceptions=True)
+    while server.report()["running"]:
+        await asyncio.sleep(0.05)
+    listener.stop()
+    await serving
+
+
+@click.command()
+@click.option("--name", required=True)
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, required=True)
+@click.option("--agent-url", required=True, help="HTTP URL of the agent beside this server.")
+@click.option("--speed", type=float, default=1.0, show_default=True, help="Run times are divided by this.")
+@click.option("--slots", type=int, default=8, show_default=True, help="Limit that the report is compared with.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--fail", type=float, default=0.0, help="Probability that a task fails at once.")
+@click.option("--drop", type=float, default=0.0, help="Probability that the answer is dropped after the run.")
+@click.option("--refuse", type=float, default=0.0, help="Probability that a start is refused as not run.")
+@click.option("--straggle", type=float, default=0.0, help="Probability that a task takes ten times as long.")
+def main(
+    name: str,
+    host: str,
+    port: int,
+    agent_url: str,
+    speed: float,
+    slots: int,
+    seed: int,
+    fail: float,
+    drop: float,
+    refuse: float,
+    straggle: float,
+) -> None:
+    """Run a backend server stand-in."""
+    server = BackendServer(name, speed, slots, seed, Faults(fail, drop, refuse, straggle))
+    asyncio.run(_serve(server, name, host, port, agent_url))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/emulator/cluster.py
@@ -0,0 +1,184 @@
+"""Starts a small set of real processes on loopback, for the demo, tests and measurements."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from typing import Any, NamedTuple, Self
+
+import yaml
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class ProcessHandle(NamedTuple):
+    """A started process and the HTTP URL of its interface."""
+
+    name: str
+    process: "subprocess.Popen[bytes]"
+    http_url: str
+
+
+class Cluster:
+    """Processes of one test; all are ended on exit, by their process ids."""
+
+    def __init__(self, directory: pathlib.Path, workspace: str = "cheese") -> None:
+        self._directory = directory
+        self._workspace = workspace
+        self._handles: dict[str, ProcessHandle] = {}
+        self._link_urls: dict[str, str] = {}
+
+    @property
+    def workspace(self) -> str:
+        """The workspace that the agents belong to."""
+        return self._workspace
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for handle in self._handles.values():
+            with contextlib.suppress(ProcessLookupError):
+                handle.process.send_signal(signal.SIGCONT)
+                handle.process.kill()
+        for handle in self._handles.values():
+            handle.process.wait()
+
+    def __getitem__(self, name: str) -> ProcessHandle:
+        return self._handles[name]
+
+    def start_entry(self, name: str, **overrides: Any) -> ProcessHandle:
+        """Start an entry that knows the entries started before it."""
+        http_port, link_port = free_port(), free_port()
+        document = {
+            "role": "entry",
+            "name": name,
+            "data_centre": "serra",
+            "host": HOST,
+            "http_port": http_port,
+            "link_port": link_port,
+            "seeds": list(self._link_urls.values()),
+            "workspaces": [self._workspace],
+            "drain_notice_s": 0.3,
+            **overrides,
+        }
+        self._link_urls[name] = f"ws://{HOST}:{link_port}"
+        return self._start_daemon(name, document)
+
+    def start_agent(self, name: str, **overrides: Any) -> ProcessHandle:
+        """Start an agent that knows all entries started before it."""
+        document = {
+            "role": "agent",
+            "name": name,
+            "data_centre": "serra",
+            "host": HOST,
+            "http_port": free_port(),
+            "seeds": list(self._link_urls.values()),
+            "workspace": self._workspace,
+            **overrides,
+        }
+        return self._start_daemon(name, document)
+
+    def start_backend_server(self, name: str, agent: str, *options: str) -> ProcessHandle:
+        """Start a backend server stand-in beside an agent."""
+        port = free_port()
+        arguments = ["--name", name, "--port", str(port), "--agent-url", self._handles[agent].http_url, *options]
+        command = [sys.executable, "-m", "emulator.backend_server", *arguments]
+        return self._start(name, command, f"http://{HOST}:{port}")
+
+    def start_worker(self, number: int, *options: str, **overrides: Any) -> None:
+        """Start an agent with its backend server: `agent-N` and `server-N`."""
+        self.start_agent(f"agent-{number}", **overrides)
+        self.start_backend_server(f"server-{number}", f"agent-{number}", *options)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._handles[name].process.send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        """Wait until a process exits and return its status."""
+        return self._handles[name].process.wait(STOP_TIMEOUT_S)
+
+    def wait_ready(self, *names: str) -> None:
+        """Wait until processes answer that they are ready."""
+        for name in names:
+            self.wait_until(lambda name=name: self.get_status(name, "/readyz") == 200, f"{name} is ready")
+
+    def wait_linked(self, entry: str, agents: int) -> None:
+        """Wait until an entry sees a number of available workers."""
+        self.wait_until(lambda: self.available_workers(entry) >= agents, f"{agents} workers at {entry}")
+
+    def available_workers(self, entry: str) -> int:
+        """Return how many workers an entry may send work to."""
+        status = self.get_json(entry, "/v1/status")
+        return sum(worker["available"] for each in status["workspaces"] for worker in each["workers"])
+
+    def wait_until(self, condition: "Any", what: str, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait for a condition; raise `TimeoutError` that names it."""
+        end = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"waited {timeout_s} s until {what}; logs are in {self._directory}")
+            time.sleep(POLL_S)
+
+    def get_status(self, name: str, path: str) -> int:
+        """Return the HTTP status of a GET request, 0 without an answer."""
+        try:
+            with urllib.request.urlopen(f"{self._handles[name].http_url}{path}", timeout=2) as response:
+                status: int = response.status
+                return status
+        except urllib.error.HTTPError as error:
+            return error.code
+        except OSError:
+            return 0
+
+    def get_json(self, name: str, path: str) -> Any:
+        """Return the JSON document of a GET request."""
+        with urllib.request.urlopen(f"{self._handles[name].http_url}{path}", timeout=5) as response:
+            return json.load(response)
+
+    def server_reports(self) -> list[dict[str, Any]]:
+        """Return the reports of all backend servers that run."""
+        names = [name for name, handle in self._handles.items() if name.startswith("server-")]
+        running = [name for name in names if self._handles[name].process.poll() is None]
+        return [self.get_json(name, "/report") for name in running]
+
+    def starts(self) -> dict[str, int]:
+        """Return how often each task was started, over all backend servers that run."""
+        starts: dict[str, int] = {}
+        for report in self.server_reports():
+            for task_id, count in report["starts"].items():
+                starts[task_id] = starts.get(task_id, 0) + count
+        return starts
+
+    def _start_daemon(self, name: str, document: dict[str, Any]) -> ProcessHandle:
+        path = self._directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(document))
+        command = [sys.executable, "-m", "cactusgauge.console.daemon", "--settings", str(path)]
+        return self._start(name, command, f"http://{HOST}:{document['http_port']}")
+
+    def _start(self, name: str, command: list[str], http_url: str) -> ProcessHandle:
+        log = (self._directory / f"{name}.log").open("ab")
+        with log:
+            process = subprocess.Popen(command, stdout=log, stderr=log, env={**os.environ, "PYTHONHASHSEED": "0"})
+        handle = ProcessHandle(name, process, http_url)
+        self._handles[name] = handle
+        return handle
