--- /dev/null
+++ b/scripts/measure_capacity.py
@@ -0,0 +1,466 @@
+"""Measures how CPU, memory and traffic of each role grow, and regenerates the tables of docs/CAPACITY.md.
+
+Real entry and agent processes run on loopback; the other side of each is driven from this process. Every slope is a
+least-squares fit over at least three sizes.
+"""
+
+import asyncio
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+from typing import Any, NamedTuple
+
+import aiohttp
+import click
+import psutil
+from websockets.asyncio import client, server
+
+from cactusgauge import ids, jobs, observability, wire
+from emulator import cluster
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN_MARK = "<!-- measured: begin -->"
+END_MARK = "<!-- measured: end -->"
+WORKSPACE = ids.WorkspaceName("cheese")
+SETTLE_S = 2.0
+WINDOW_S = 8.0
+AGENT_COUNTS = (10, 40, 120)
+ENTRY_LINK_COUNTS = (1, 3, 9)
+PEER_COUNTS = (1, 3, 6)
+TASK_RATES = (200, 400, 800)
+TASKS_PER_JOB = 20
+HELD_JOBS = (100, 300, 900)
+RUN_MS = 50
+SEGMENT_OVERHEAD_BYTES = 54  # IP and TCP headers with timestamps, and the shortest WebSocket header
+
+TARGET_WORKERS = 570
+TARGET_STARTS_PER_S = 21_000
+TARGET_ENTRIES = 14  # two in each of seven data centres
+TARGET_LINKS_PER_AGENT = 3
+TARGET_CONFIG_CHANGES_PER_DAY = 730
+MAX_CPU_PERCENT = 4.4
+MAX_MEMORY_MB = 256
+MAX_TRAFFIC_KB_PER_S = 7
+SECONDS_PER_DAY = 86_400
+
+
+class Sample(NamedTuple):
+    """One measurement: the size, CPU seconds per second, resident MB, and frames and bytes per second."""
+
+    size: float
+    cpu: float
+    memory_mb: float
+    frames_per_s: float
+    bytes_per_s: float
+
+
+class Slope(NamedTuple):
+    """A fitted line."""
+
+    per_unit: float
+    at_zero: float
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.at_zero + self.per_unit * size
+
+
+def fit(samples: list[Sample], field: str) -> Slope:
+    """Return the least-squares line of one field over the sizes."""
+    line = statistics.linear_regression([each.size for each in samples], [getattr(each, field) for each in samples])
+    return Slope(line.slope, line.intercept)
+
+
+class FakeAgent:
+    """An agent's side of the link protocol; each task ends after its `run_ms`."""
+
+    def __init__(self, number: int, codec: wire.FrameCodec) -> None:
+        self._hello = wire.AgentHello(
+            wire.PROTOCOL_VERSION,
+            ids.AgentName(f"agent-{number}"),
+            ids.new_agent_incarnation(),
+            WORKSPACE,
+            ids.DataCentreName("serra"),
+            8,
+        )
+        self._codec = codec
+        self._last_assign = 0
+        self._last_result = 0
+
+    async def run(self, url: str) -> None:
+        """Serve one link until cancelled."""
+        connection = await client.connect(url, compression=None, ping_interval=None, proxy=None)
+        counters = observability.Counters()
+        async with wire.Link(connection, self._codec, counters, lambda: wire.Heartbeat(self._last_assign, 0)) as link:
+            link.post(self._hello)
+            await link.receive()
+            link.post(wire.Resume(0, 8, True))
+            while True:
+                message = await link.receive()
+                if isinstance(message, wire.Assign):
+                    self._last_assign = message.number
+                    for start in message.starts:
+                        asyncio.get_running_loop().call_later(RUN_MS / 1000, self._end, link, start)
+
+    def _end(self, link: wire.Link, start: wire.Start) -> None:
+        self._last_result += 1
+        state = jobs.TaskState.COMPLETED.value
+        outcome = wire.Outcome(start.session, start.number, start.task, state, "", b"ok", RUN_MS)
+        link.post(wire.Results(self._last_result, self._last_assign, 8, [outcome]))
+
+
+class FakeEntry:
+    """An entry's side of the link protocol, with its port."""
+
+    def __init__(self, number: int, codec: wire.FrameCodec) -> None:
+        self._codec = codec
+        self._port = cluster.free_port()
+        self._info = wire.EntryInfo(
+            ids.EntryName(f"fake-{number}"),
+            ids.new_entry_incarnation(),
+            f"ws://{cluster.HOST}:{self._port}",
+            "http://127.0.0.1:1",
+            ids.DataCentreName("serra"),
+            [WORKSPACE],
+            1.0,
+            True,
+        )
+        self._number = 0
+        self._last_result = 0
+        self.link: wire.Link | None = None
+        self.done = 0
+
+    @property
+    def link_url(self) -> str:
+        """URL for agents and entries."""
+        return self._info.link_url
+
+    async def run(self) -> None:
+        """Serve links until cancelled."""
+        async with server.serve(
+            self._serve, cluster.HOST, self._port, compression=None, ping_interval=None
+        ) as listener:
+            await listener.serve_forever()
+
+    async def _serve(self, connection: server.ServerConnection) -> None:
+        counters = observability.Counters()
+        async with wire.Link(connection, self._codec, counters, lambda: wire.Heartbeat(self._last_result, 0)) as link:
+            hello = await link.receive()
+            if isinstance(hello, wire.PeerHello):
+                link.post(wire.PeerHello(wire.PROTOCOL_VERSION, self._info, 0, []))
+            else:
+                link.post(wire.Welcome(wire.PROTOCOL_VERSION, self._info.name, self._info.incarnation, 0, [self._info]))
+            self.link = link
+            while True:
+                message = await link.receive()
+                if isinstance(message, wire.Results):
+                    self._last_result = message.number
+                    self.done += len(message.outcomes)
+
+    async def start_tasks(self, rate: float, seconds: float, session: ids.SessionId) -> None:
+        """Send single starts at a steady rate."""
+        loop = asyncio.get_running_loop()
+        payload = json.dumps({"run_ms": RUN_MS})
+        began = loop.time()
+        for count in range(int(rate * seconds)):
+            await asyncio.sleep(max(0.0, began + count / rate - loop.time()))
+            assert self.link is not None
+            self._number += 1
+            start = wire.Start(session, count // 20, count % 20, 20, b"d", "default", payload, False, 30_000)
+            self.link.post(wire.Assign(self._number, self._last_result, 0, [start]))
+
+
+class Meter:
+    """Reads CPU, memory and traffic of one process over a window."""
+
+    def __init__(self, processes: cluster.Cluster, name: str) -> None:
+        self._processes = processes
+        self._name = name
+        self._process = psutil.Process(processes[name].process.pid)
+
+    async def sample(self, size: float, window_s: float = WINDOW_S) -> Sample:
+        """Return the means over a window."""
+        before, cpu_before, began = await self._traffic(), self._cpu(), time.monotonic()
+        await asyncio.sleep(window_s)
+        cpu, elapsed = self._cpu() - cpu_before, time.monotonic() - began
+        after = await self._traffic()
+        memory_mb = self._process.memory_info().rss / 1e6
+        return Sample(
+            size,
+            cpu / elapsed,
+            memory_mb,
+            (after[0] - before[0]) / elapsed,
+            (after[1] - before[1]) / elapsed,
+        )
+
+    def _cpu(self) -> float:
+        times = self._process.cpu_times()
+        return float(times.user + times.system)
+
+    async def _traffic(self) -> tuple[float, float]:
+        status = await asyncio.to_thread(self._processes.get_json, self._name, "/v1/status")
+        rows = status["counters"]
+        frames = sum(row[3] for row in rows if row[0] in ("messages_sent", "messages_received"))
+        size = sum(row[3] for row in rows if row[0] in ("bytes_sent", "bytes_received"))
+        return frames, size
+
+
+def _link_url(processes: cluster.Cluster, name: str) -> str:
+    entry = processes.get_json(name, "/v1/status")["entry"]
+    url: str = entry["link_url"]
+    return url
+
+
+async def _start_entry(processes: cluster.Cluster, name: str, **overrides: Any) -> Meter:
+    processes.start_entry(name, **overrides)
+    await asyncio.to_thread(processes.wait_ready, name)
+    return Meter(processes, name)
+
+
+async def measure_entry_links(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an idle entry over the number of linked agents."""
+    samples = []
+    for count in AGENT_COUNTS:
+        name = f"entry-links-{count}"
+        meter = await _start_entry(processes, name)
+        codec = wire.FrameCodec()
+        url = await asyncio.to_thread(_link_url, processes, name)
+        agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(count)]
+        await asyncio.to_thread(processes.wait_linked, name, count)
+        await asyncio.sleep(SETTLE_S)
+        samples.append(await meter.sample(count))
+        await _cancel(agents)
+        processes.stop(name)
+    return samples
+
+
+async def measure_entry_peers(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an idle entry over the number of other entries."""
+    samples = []
+    for count in PEER_COUNTS:
+        codec = wire.FrameCodec()
+        peers = [FakeEntry(number, codec) for number in range(count)]
+        tasks = [asyncio.create_task(peer.run()) for peer in peers]
+        name = f"entry-peers-{count}"
+        meter = await _start_entry(processes, name, seeds=[peer.link_url for peer in peers])
+        await asyncio.sleep(SETTLE_S)
+        samples.append(await meter.sample(count))
+        processes.stop(name)
+        await _cancel(tasks)
+    return samples
+
+
+async def measure_entry_tasks(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an entry over the rate of tasks, in jobs of TASKS_PER_JOB."""
+    name = "entry-tasks"
+    meter = await _start_entry(processes, name)
+    codec = wire.FrameCodec()
+    url = await asyncio.to_thread(_link_url, processes, name)
+    agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(11)]
+    await asyncio.to_thread(processes.wait_linked, name, 11)
+    samples = []
+    async with aiohttp.ClientSession() as session:
+        for rate in TASK_RATES:
+            driver = asyncio.create_task(_submit_jobs(session, processes[name].http_url, rate / TASKS_PER_JOB))
+            await asyncio.sleep(SETTLE_S)
+            samples.append(await meter.sample(rate))
+            await _cancel([driver])
+            await asyncio.sleep(1.0)
+    await _cancel(agents)
+    processes.stop(name)
+    return samples
+
+
+async def measure_held_jobs(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an entry's memory over the number of finished jobs that it holds for resubmissions."""
+    samples = []
+    for count in HELD_JOBS:
+        name = f"entry-held-{count}"
+        meter = await _start_entry(processes, name)
+        codec = wire.FrameCodec()
+        url = await asyncio.to_thread(_link_url, processes, name)
+        agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(11)]
+        await asyncio.to_thread(processes.wait_linked, name, 11)
+        async with aiohttp.ClientSession() as session:
+            base = f"{processes[name].http_url}/v1/workspaces/{WORKSPACE}/sessions"
+            for _ in range(count // 50):
+                session_id = await _open(session, base)
+                await asyncio.gather(*(_submit(session, base, session_id, number) for number in range(50)))
+        samples.append(await meter.sample(count * TASKS_PER_JOB, window_s=1.0))
+        await _cancel(agents)
+        processes.stop(name)
+    return samples
+
+
+async def measure_agent_links(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an idle agent over the number of linked entries."""
+    samples = []
+    for count in ENTRY_LINK_COUNTS:
+        codec = wire.FrameCodec()
+        entries = [FakeEntry(number, codec) for number in range(count)]
+        tasks = [asyncio.create_task(entry.run()) for entry in entries]
+        name = f"agent-links-{count}"
+        processes.start_agent(name, seeds=[entry.link_url for entry in entries], links_per_agent=count)
+        meter = Meter(processes, name)
+        await asyncio.sleep(SETTLE_S * 2)
+        samples.append(await meter.sample(count))
+        processes.stop(name)
+        await _cancel(tasks)
+    return samples
+
+
+async def measure_agent_tasks(processes: cluster.Cluster) -> list[Sample]:
+    """Measure an agent over the rate of tasks, with a real HTTP backend server stand-in."""
+    codec = wire.FrameCodec()
+    entry = FakeEntry(0, codec)
+    serving = asyncio.create_task(entry.run())
+    processes.start_agent("agent-tasks", seeds=[entry.link_url], slots=64)
+    processes.start_backend_server("server-tasks", "agent-tasks", "--speed", "1")
+    await asyncio.to_thread(processes.wait_ready, "agent-tasks")
+    meter = Meter(processes, "agent-tasks")
+    while entry.link is None:
+        await asyncio.sleep(0.05)
+    samples = []
+    for round_number, rate in enumerate((25, 50, 100)):
+        session = ids.SessionId(f"{'0' * 16}-{round_number}")
+        driver = asyncio.create_task(entry.start_tasks(rate, WINDOW_S + 2 * SETTLE_S, session))
+        await asyncio.sleep(SETTLE_S)
+        samples.append(await meter.sample(rate))
+        await driver
+    await _cancel([serving])
+    return samples
+
+
+async def _submit_jobs(session: aiohttp.ClientSession, http_url: str, jobs_per_s: float) -> None:
+    base = f"{http_url}/v1/workspaces/{WORKSPACE}/sessions"
+    session_id = await _open(session, base)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    pending: set[asyncio.Task[None]] = set()
+    number = 0
+    try:
+        while True:
+            await asyncio.sleep(max(0.0, began + number / jobs_per_s - loop.time()))
+            task = asyncio.create_task(_submit(session, base, session_id, number))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            number += 1
+    finally:
+        await asyncio.gather(*pending, return_exceptions=True)
+
+
+async def _open(session: aiohttp.ClientSession, base: str) -> str:
+    async with session.post(base) as response:
+        session_id: str = (await response.json())["session"]
+        return session_id
+
+
+async def _submit(session: aiohttp.ClientSession, base: str, session_id: str, number: int) -> None:
+    tasks = [{"payload": json.dumps({"run_ms": RUN_MS, "entry": index})} for index in range(TASKS_PER_JOB)]
+    async with session.put(f"{base}/{session_id}/jobs/{number}?wait=30", json={"tasks": tasks}) as response:
+        assert response.status == 200, await response.text()
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def measure() -> dict[str, list[Sample]]:
+    """Run all measurements, one after the other."""
+    measurements = {
+        "entry, idle, by linked agents": measure_entry_links,
+        "entry, idle, by other entries": measure_entry_peers,
+        "entry, by tasks a second": measure_entry_tasks,
+        "entry, by finished tasks held": measure_held_jobs,
+        "agent, idle, by linked entries": measure_agent_links,
+        "agent, by tasks a second": measure_agent_tasks,
+    }
+    results = {}
+    for title, measurement in measurements.items():
+        with tempfile.TemporaryDirectory() as directory, cluster.Cluster(pathlib.Path(directory)) as processes:
+            results[title] = await measurement(processes)
+        print(title, *results[title], sep="\n  ", file=sys.stderr)
+    return results
+
+
+def render(results: dict[str, list[Sample]]) -> str:
+    """Return the measured tables in Markdown."""
+    lines = [
+        "| measurement | sizes | CPU µs/s at zero | CPU µs/s per unit | MB at zero | KB per unit | frames/s per unit "
+        "| bytes/s per unit |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for title, samples in results.items():
+        cpu, memory = fit(samples, "cpu"), fit(samples, "memory_mb")
+        frames, size = fit(samples, "frames_per_s"), fit(samples, "bytes_per_s")
+        sizes = ", ".join(f"{each.size:g}" for each in samples)
+        lines.append(
+            f"| {title} | {sizes} | {cpu.at_zero * 1e6:.0f} | {cpu.per_unit * 1e6:.1f} | {memory.at_zero:.1f} "
+            f"| {memory.per_unit * 1e3:.2f} | {frames.per_unit:.2f} | {size.per_unit:.1f} |"
+        )
+    return "\n".join([*lines, "", *_render_target(results)])
+
+
+def _render_target(results: dict[str, list[Sample]]) -> list[str]:
+    links = TARGET_WORKERS * TARGET_LINKS_PER_AGENT / TARGET_ENTRIES
+    peers = TARGET_ENTRIES - 1
+    by_agents, by_peers = results["entry, idle, by linked agents"], results["entry, idle, by other entries"]
+    by_links = results["agent, idle, by linked entries"]
+    entry_cpu = fit(by_agents, "cpu").at(links) + fit(by_peers, "cpu").per_unit * peers
+    entry_bytes = _wire_bytes(by_agents, links) + _wire_bytes(by_peers, peers)
+    entry_memory = fit(by_agents, "memory_mb").at(links) + fit(by_peers, "memory_mb").per_unit * peers
+    agent_cpu = fit(by_links, "cpu").at(TARGET_LINKS_PER_AGENT)
+    agent_bytes = _wire_bytes(by_links, TARGET_LINKS_PER_AGENT)
+    agent_memory = fit(by_links, "memory_mb").at(TARGET_LINKS_PER_AGENT)
+    entry_tasks, agent_tasks = TARGET_STARTS_PER_S / TARGET_ENTRIES, TARGET_STARTS_PER_S / TARGET_WORKERS
+    entry_task_cpu = fit(results["entry, by tasks a second"], "cpu").per_unit
+    agent_task_cpu = fit(results["agent, by tasks a second"], "cpu").per_unit
+    return [
+        f"At the target: {TARGET_WORKERS} agents with {TARGET_LINKS_PER_AGENT} links each over {TARGET_ENTRIES} "
+        f"entries, so {links:.0f} agent links and {peers} peers an entry; {entry_tasks:.0f} starts/s an entry and "
+        f"{agent_tasks:.0f} starts/s an agent.",
+        "",
+        "| control, idle | entry | agent | limit | met |",
+        "|---|---|---|---|---|",
+        _row("CPU, % of a core", entry_cpu * 100, agent_cpu * 100, MAX_CPU_PERCENT),
+        _row("memory, MB", entry_memory, agent_memory, MAX_MEMORY_MB),
+        _row("traffic with headers, KB/s", entry_bytes / 1e3, agent_bytes / 1e3, MAX_TRAFFIC_KB_PER_S),
+        "",
+        "| task traffic at the peak | entry | agent |",
+        "|---|---|---|",
+        f"| CPU µs per task | {entry_task_cpu * 1e6:.0f} | {agent_task_cpu * 1e6:.0f} |",
+        f"| CPU, % of a core | {entry_task_cpu * entry_tasks * 100:.0f} | {agent_task_cpu * agent_tasks * 100:.1f} |",
+        f"| starts/s at which one core is full | {1 / entry_task_cpu:.0f} | {1 / agent_task_cpu:.0f} |",
+    ]
+
+
+def _wire_bytes(samples: list[Sample], size: float) -> float:
+    payload, frames = fit(samples, "bytes_per_s").per_unit, fit(samples, "frames_per_s").per_unit
+    return size * (payload + frames * SEGMENT_OVERHEAD_BYTES)
+
+
+def _row(title: str, entry: float, agent: float, limit: float) -> str:
+    met = "yes" if max(entry, agent) <= limit else "no"
+    return f"| {title} | {entry:.2f} | {agent:.2f} | {limit:g} | {met} |"
+
+
+@click.command()
+@click.option("--write", is_flag=True, help="Replace the measured tables in docs/CAPACITY.md.")
+def main(write: bool) -> None:
+    """Measure and print the tables."""
+    tables = render(asyncio.run(measure()))
+    print(tables)
+    if write:
+        text = PAGE.read_text()
+        head, _, rest = text.partition(BEGIN_MARK)
+        _, _, tail = rest.partition(END_MARK)
+        PAGE.write_text(f"{head}{BEGIN_MARK}\n{tables}\n{END_MARK}{tail}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -113,6 +113,13 @@
         """Send a signal to a process."""
         self._handles[name].process.send_signal(number)
 
+    def stop(self, name: str) -> None:
+        """Kill a process and forget it."""
+        handle = self._handles.pop(name)
+        handle.process.kill()
+        handle.process.wait()
+        self._link_urls.pop(name, None)
+
     def wait_exit(self, name: str) -> int:
         """Wait until a process exits and return its status."""
         return self._handles[name].process.wait(STOP_TIMEOUT_S)
