Send heartbeats of idle links every 5 s and keep peer heartbeats small

Cause: at the target size an entry has 122 agent links and 13 peers; with heartbeats of 1 s and full entry descriptions in PeerBeat the capacity script worked out 18.7 KB/s of control traffic (limit 7 KB/s). Ruled out: fewer links per agent, which would leave a workspace with two dispatchers at most after a failure. Change: a link without tasks in flight or queued sends heartbeats every 5 s and is dropped after 15 s of silence; PeerBeat carries only state and version.

--- a/src/cactusgauge/agent/slot_gate.py
+++ b/src/cactusgauge/agent/slot_gate.py
@@ -23,6 +23,10 @@
         """Number of tasks that hold a slot."""
         return self._running.total()
 
+    def is_used_by(self, entry: ids.EntryIncarnation) -> bool:
+        """Whether an entry has tasks running or queued for this worker."""
+        return self._running[entry] > 0 or entry in self._demand
+
     def demand(self, entry: ids.EntryIncarnation) -> int:
         """Return the number of queued tasks that an entry last showed."""
         return self._demand.get(entry, 0)
--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -181,6 +181,8 @@
             credit = self._credit(ledger)
             ledger.flush(credit)
             # A lower credit reaches the entry with its next result, before it can start anything more.
+            if ledger.link is not None:
+                ledger.link.set_active(self._gate.is_used_by(ledger.incarnation))
             if self._gate.demand(ledger.incarnation) and credit > ledger.shown_credit:
                 ledger.show_state(credit, self.serving)
 
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -102,12 +102,7 @@
 
     def is_available(self, now: float) -> bool:
         """Whether new work may be sent: linked, heard of lately, serving and not paused."""
-        return (
-            self._link is not None
-            and self._serving
-            and now >= self._paused_until
-            and now - self._link.last_received <= wire.SILENCE_S
-        )
+        return self._link is not None and self._serving and now >= self._paused_until and not self._link.is_silent
 
     def expected_wait_s(self, now: float) -> float:
         """Return the expected time in seconds until a slot is free."""
@@ -130,6 +125,7 @@
         returned = [task_id for task_id in never_received if task_id in self._in_flight]
         for task_id in returned:
             del self._in_flight[task_id]
+        self._update_activity()
         return returned
 
     def detach(self, link: "wire.Link", now: float) -> None:
@@ -164,9 +160,16 @@
         self._unacknowledged.append((self._last_assign_number, task_ids))
         message = wire.Assign(self._last_assign_number, self._last_result_number, demand, starts)
         self._shown_demand = demand
+        self._update_activity()
         self._link.post(message)
         return message
 
+    def heartbeat(self, demand: int) -> wire.Heartbeat:
+        """Return a heartbeat that acknowledges results and shows the entry's demand."""
+        self._shown_demand = demand
+        self._update_activity()
+        return wire.Heartbeat(self._last_result_number, demand)
+
     def acknowledge(self, assign_ack: int) -> None:
         """Note that the agent received all assigns up to a number."""
         while self._unacknowledged and self._unacknowledged[0][0] <= assign_ack:
@@ -184,14 +187,21 @@
 
     def end(self, task_id: ids.TaskId) -> InFlight | None:
         """Remove a task from the in-flight table; return None if it was not there."""
-        return self._in_flight.pop(task_id, None)
+        ended = self._in_flight.pop(task_id, None)
+        self._update_activity()
+        return ended
 
     def abandon(self) -> list[ids.TaskId]:
         """Give up all tasks in flight; nothing is known of them."""
         abandoned = list(self._in_flight)
         self._in_flight.clear()
+        self._update_activity()
         return abandoned
 
+    def _update_activity(self) -> None:
+        if self._link is not None:
+            self._link.set_active(bool(self._in_flight or self._shown_demand))
+
     @staticmethod
     def _start(job: "jobs.Job", task: "jobs.Task", now: float) -> wire.Start:
         remaining_ms = max(1, int((job.deadline - now) * MILLISECONDS_PER_SECOND))
--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -55,7 +55,7 @@
         """Return the heartbeat for an agent's link."""
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = dispatcher.find_worker(hello)
-        return wire.Heartbeat(worker.last_result_number, dispatcher.queued_count)
+        return worker.heartbeat(dispatcher.queued_count)
 
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
--- a/src/cactusgauge/entry/peer_links.py
+++ b/src/cactusgauge/entry/peer_links.py
@@ -72,7 +72,7 @@
 
     def beat(self) -> wire.Message:
         """Return a heartbeat with this entry's current state."""
-        return wire.PeerBeat(self._members.own, self._config_version())
+        return wire.PeerBeat(self._members.own.serving, self._config_version())
 
     def broadcast(self, message: wire.Message) -> None:
         """Send a message to every linked entry."""
@@ -143,15 +143,15 @@
         self._events.record_state("peer_linked", entry=name, incarnation=hello.info.incarnation)
         try:
             while True:
-                self._take(link, await link.receive())
+                self._take(link, hello.info, await link.receive())
         finally:
             self._remove(name, link)
             self._events.record_state("peer_unlinked", entry=name)
 
-    def _take(self, link: wire.Link, message: wire.Message) -> None:
+    def _take(self, link: wire.Link, peer: wire.EntryInfo, message: wire.Message) -> None:
         match message:
             case wire.PeerBeat():
-                self._hear(message.info, message.config_version)
+                self._hear(peer._replace(serving=message.serving), message.config_version)
             case wire.HandOver():
                 self._hand_overs.add(message.sessions)
                 if message.last:
--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -20,7 +20,9 @@
     from cactusgauge.wire import messages
 
 HEARTBEAT_S = 1.0
-SILENCE_S = 3.0  # three lost heartbeats; also the bound on work for a backend server that is leaving
+SILENCE_S = 3.0  # three lost heartbeats
+IDLE_HEARTBEAT_S = 5.0  # an entry with 122 idle links spends under 7 KB/s at the target size
+IDLE_SILENCE_S = 15.0
 GRACE_AFTER_PAUSE_S = 0.2  # a process that was itself paused first reads what arrived meanwhile
 CLOSE_REASON_BYTES = 120  # a close frame holds at most 123 bytes of reason
 
@@ -28,9 +30,9 @@
 class Link:
     """Sends and receives typed messages over one WebSocket connection.
 
-    Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. The
-    writer sends a heartbeat after HEARTBEAT_S without a message and aborts the connection after SILENCE_S without
-    a message from the peer.
+    Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. On an
+    active link the writer sends a heartbeat after HEARTBEAT_S without a message and aborts the connection after
+    SILENCE_S without one from the peer. An idle link uses IDLE_HEARTBEAT_S and IDLE_SILENCE_S.
     """
 
     def __init__(
@@ -48,12 +50,17 @@
         self._wake = asyncio.Event()
         self._writer: asyncio.Task[None] | None = None
         self._last_received = asyncio.get_running_loop().time()
+        self._active = True
+        self._active_since = self._last_received
         self.workspace = ""
 
     @property
-    def last_received(self) -> float:
-        """Loop time in seconds at which the last message arrived."""
-        return self._last_received
+    def is_silent(self) -> bool:
+        """Whether the peer has not been heard for longer than its heartbeats allow."""
+        now = asyncio.get_running_loop().time()
+        if self._active:
+            return now - max(self._last_received, self._active_since) > SILENCE_S
+        return now - self._last_received > IDLE_SILENCE_S
 
     async def __aenter__(self) -> Self:
         self._writer = asyncio.create_task(self._write())
@@ -76,6 +83,15 @@
         self._outbox.append(message)
         self._wake.set()
 
+    def set_active(self, active: bool) -> None:
+        """Say whether work depends on the link; both sides derive it from the tasks in flight."""
+        if active == self._active:
+            return
+        self._active = active
+        if active:
+            self._active_since = asyncio.get_running_loop().time()
+            self._wake.set()
+
     async def receive(self) -> "messages.Message":
         """Return the next message; raise `LinkClosedError` at the end and `ProtocolError` for a bad frame."""
         try:
@@ -130,16 +146,15 @@
         if self._outbox:
             return
         try:
-            async with asyncio.timeout(HEARTBEAT_S):
+            async with asyncio.timeout(HEARTBEAT_S if self._active else IDLE_HEARTBEAT_S):
                 await self._wake.wait()
         except TimeoutError:
             self._outbox.append(self._heartbeat())
             await self._abort_if_silent()
 
     async def _abort_if_silent(self) -> None:
-        loop = asyncio.get_running_loop()
-        if loop.time() - self._last_received <= SILENCE_S:
+        if not self.is_silent:
             return
         await asyncio.sleep(GRACE_AFTER_PAUSE_S)
-        if loop.time() - self._last_received > SILENCE_S:
+        if self.is_silent:
             self.abort()
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -146,9 +146,9 @@
 
 
 class PeerBeat(NamedTuple):
-    """Heartbeat between entries."""
+    """Heartbeat between entries; what else is known of the sender was in its `PeerHello`."""
 
-    info: EntryInfo
+    serving: bool
     config_version: int
 
 
