Refuse outcomes that carry a state that is not final

Cause: Outcome.state was any string. The dispatcher converts it after it has removed the task from the in-flight table and counted the results message, so an unknown state raised ValueError with the task and the outcomes behind it lost, and "queued" or "sent" gave an ended task an open state. Ruled out: agents of this version send final states only; the case needs a faulty peer or a damaged frame. Before: the frame was decoded. After: it is a ProtocolError, which closes the connection before anything is changed. Conclusion: fields with a fixed set of values are checked in the codec.

--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -4,12 +4,17 @@
 part of the protocol; a change of it needs a new PROTOCOL_VERSION.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import pydantic
 
 from cactusgauge import ids
 
 PROTOCOL_VERSION = 1
 
+# The final states of `jobs.TaskState`, as only ended tasks are reported.
+FinalState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
+
 
 class EntryInfo(NamedTuple):
     """What processes tell each other about an entry."""
@@ -39,12 +44,12 @@
 
 
 class Outcome(NamedTuple):
-    """The end of one task at an agent; `state` is a value of `jobs.TaskState`."""
+    """The end of one task at an agent; `state` is the value of a final `jobs.TaskState`."""
 
     session: ids.SessionId
     number: int
     task: int
-    state: str
+    state: FinalState
     reason: str
     result: bytes
     run_ms: float
--- a/tests/unit/wire/test_codec.py
+++ b/tests/unit/wire/test_codec.py
@@ -131,10 +131,11 @@
         b"\x81" * 5000 + b"\x00",
         cbor2.dumps([1 << 20_000]),
         cbor2.dumps([True, 0, 0]),
+        cbor2.dumps([4, 1, 0, 1, [["s", 1, 0, "queued", "", b"", 0.0]]]),
     ],
-    ids=["text", "empty", "empty array", "nested", "huge kind", "bool kind"],
+    ids=["text", "empty", "empty array", "nested", "huge kind", "bool kind", "open task state"],
 )
 def test_frame_is_refused(frame: bytes | str) -> None:
-    """Guards against single frames that other errors came out of."""
+    """Guards against single frames that other errors came out of, and outcomes that are no end of a task."""
     with pytest.raises(exceptions.ProtocolError):
         wire.FrameCodec().decode(frame)
