Drop a silent peer while the writer of its link is busy or blocked

Cause: the silence of a peer was checked only by the writer, and only after a second without a message to send. A peer that stopped reading blocks the writer in send(), and one that is sent messages all the time never gets the check. The link stayed attached until the kernel gave up the connection, so an agent's drain waited on it and an entry never counted the agent as lost. Also, frames buffered in an aborted connection were still delivered. Ruled out: the close handshake; the connection is not closed in these cases. After: all 4 notice it, and receive() raises LinkClosedError after abort(). Conclusion: a check of a peer must not depend on writing to it.

--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -29,8 +29,8 @@
     """Sends and receives typed messages over one WebSocket connection.
 
     Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. The
-    writer sends a heartbeat after HEARTBEAT_S without a message and aborts the connection after SILENCE_S without
-    a message from the peer.
+    writer sends a heartbeat after HEARTBEAT_S without a message. Another task aborts the connection after SILENCE_S
+    without a message from the peer, as the writer may be blocked by that very peer.
     """
 
     def __init__(
@@ -46,7 +46,8 @@
         self._heartbeat = heartbeat
         self._outbox: collections.deque[messages.Message] = collections.deque()
         self._wake = asyncio.Event()
-        self._writer: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._aborted = False
         self._last_received = asyncio.get_running_loop().time()
         self.workspace = ""
 
@@ -56,16 +57,16 @@
         return self._last_received
 
     async def __aenter__(self) -> Self:
-        self._writer = asyncio.create_task(self._write())
+        self._tasks = [asyncio.create_task(self._write()), asyncio.create_task(self._watch())]
         return self
 
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: "TracebackType | None"
     ) -> None:
-        if self._writer is not None:
-            self._writer.cancel()
+        for task in self._tasks:
+            task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await self._writer
+                await task
         if isinstance(error, exceptions.ProtocolError):
             await self.close(str(error), code=1002)
         else:
@@ -82,6 +83,8 @@
             frame = await self._connection.recv()
         except websockets.exceptions.ConnectionClosed as error:
             raise exceptions.LinkClosedError(str(error)) from error
+        if self._aborted:
+            raise exceptions.LinkClosedError("the link was aborted")
         self._last_received = asyncio.get_running_loop().time()
         try:
             message = self._codec.decode(frame)
@@ -106,7 +109,8 @@
             await self._connection.close(code, short_reason)
 
     def abort(self) -> None:
-        """Drop the connection at once, without a close handshake."""
+        """Drop the connection at once, without a close handshake; frames not yet read are lost."""
+        self._aborted = True
         self._connection.transport.abort()
 
     async def _write(self) -> None:
@@ -134,12 +138,13 @@
                 await self._wake.wait()
         except TimeoutError:
             self._outbox.append(self._heartbeat())
-            await self._abort_if_silent()
 
-    async def _abort_if_silent(self) -> None:
+    async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
-        if loop.time() - self._last_received <= SILENCE_S:
-            return
-        await asyncio.sleep(GRACE_AFTER_PAUSE_S)
-        if loop.time() - self._last_received > SILENCE_S:
-            self.abort()
+        while not self._aborted:
+            await asyncio.sleep(max(0.0, self._last_received + SILENCE_S - loop.time()))
+            if loop.time() - self._last_received < SILENCE_S:
+                continue
+            await asyncio.sleep(GRACE_AFTER_PAUSE_S)
+            if loop.time() - self._last_received >= SILENCE_S:
+                self.abort()
--- /dev/null
+++ b/tests/unit/wire/test_link.py
@@ -0,0 +1,89 @@
+import asyncio
+from typing import Any
+
+import pytest
+import websockets.exceptions
+
+from cactusgauge import exceptions, observability, wire
+
+BEAT = wire.Heartbeat(0, 0)
+
+
+class _Connection:
+    """A WebSocket connection that delivers `frames`; sends block while `is_full`."""
+
+    def __init__(self, is_full: bool) -> None:
+        self.transport = self
+        self.frames: asyncio.Queue[bytes] = asyncio.Queue()
+        self.is_full = is_full
+        self.closed = asyncio.Event()
+
+    def abort(self) -> None:
+        """End the connection."""
+        self.closed.set()
+
+    async def recv(self) -> bytes:
+        """Return a frame; frames that arrived before the end are still delivered."""
+        getting = asyncio.create_task(self.frames.get())
+        closing = asyncio.create_task(self.closed.wait())
+        await asyncio.wait([getting, closing], return_when=asyncio.FIRST_COMPLETED)
+        closing.cancel()
+        if getting.done():
+            return getting.result()
+        getting.cancel()
+        raise websockets.exceptions.ConnectionClosedError(None, None)
+
+    async def send(self, frame: bytes) -> None:
+        """Send a frame."""
+        if self.is_full:
+            await self.closed.wait()
+            raise websockets.exceptions.ConnectionClosedError(None, None)
+
+    async def close(self, code: int, reason: str) -> None:
+        """Close the connection."""
+        self.closed.set()
+
+
+def _link(connection: Any) -> wire.Link:
+    return wire.Link(connection, wire.FrameCodec(), observability.Counters(), lambda: BEAT)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("is_full", [False, True])
+@pytest.mark.parametrize("post_interval_s", [0.4, 100.0])
+async def test_silent_peer_is_dropped(is_full: bool, post_interval_s: float) -> None:
+    """Guards against a dead peer that is never noticed because the writer is busy or blocked."""
+    connection = _Connection(is_full)
+
+    async def post_forever(link: wire.Link) -> None:
+        while True:
+            link.post(BEAT)
+            await asyncio.sleep(post_interval_s)
+
+    async with _link(connection) as link:
+        posting = asyncio.create_task(post_forever(link))
+        with pytest.raises(exceptions.LinkClosedError):
+            await asyncio.wait_for(link.receive(), wire.SILENCE_S + 2 * wire.HEARTBEAT_S)
+        posting.cancel()
+
+
+@pytest.mark.looptime
+async def test_heard_peer_is_kept() -> None:
+    """Guards against dropping a link whose peer only sends heartbeats."""
+    connection = _Connection(is_full=False)
+    async with _link(connection) as link:
+        for _ in range(10):
+            await asyncio.sleep(wire.SILENCE_S - 0.1)
+            connection.frames.put_nowait(wire.FrameCodec().encode(BEAT))
+            assert await link.receive() == BEAT
+
+
+@pytest.mark.looptime
+async def test_nothing_is_read_from_an_aborted_link() -> None:
+    """Guards against a frame of a replaced link that overwrites newer state."""
+    connection = _Connection(is_full=False)
+    async with _link(connection) as link:
+        connection.frames.put_nowait(wire.FrameCodec().encode(BEAT))
+        link.abort()
+        with pytest.raises(exceptions.LinkClosedError):
+            await link.receive()
