Refuse declared run times that are not finite

Cause: duration_ms accepted Infinity and 1e999. SpeedBook then computes infinity minus infinity, so the learned time of that kind of task, and with it the slowness of every worker that runs one, stays NaN and placement compares NaN from then on. Ruled out: NaN itself; it fails the check for a positive number. Conclusion: declared numbers are bounded where they are parsed.

--- a/src/cactusgauge/jobs/job_request.py
+++ b/src/cactusgauge/jobs/job_request.py
@@ -18,7 +18,7 @@
 
     payload: str
     kind: str = pydantic.Field(default="default", pattern=KIND_PATTERN)
-    duration_ms: float | None = pydantic.Field(default=None, gt=0)
+    duration_ms: float | None = pydantic.Field(default=None, gt=0, allow_inf_nan=False)
     idempotent: bool = False
 
 
