Count a finished job against the store only while its session holds it

Cause: SessionStore kept the size of jobs that their session had evicted for its own bounds, and of all jobs of expired sessions. The sum only shrank by evicting, so answers of other sessions were evicted although far fewer bytes were held than the bound allows, and their callers got job_expired. Ruled out: Session's own bounds and the watermark; they agree with a reference that forgets nothing. Before: the machine finds a job evicted without need, and a job evicted for the sake of an expired session. After: the store holds exactly what the reference keeps. Conclusion: sessions report what they evict.

--- a/src/cactusgauge/jobs/session.py
+++ b/src/cactusgauge/jobs/session.py
@@ -87,16 +87,19 @@
             raise ValueError(f"job number {number} is taken")
         self._jobs[number] = job
 
-    def mark_finished(self, number: int) -> None:
-        """Count a finished job against the bounds and evict the oldest ones."""
+    def mark_finished(self, number: int) -> list[int]:
+        """Count a finished job against the bounds and evict the oldest ones; return the evicted numbers."""
         job = self._jobs[number]
         size = job.held_bytes
         self._finished[number] = size
         self._finished_bytes += size
+        evicted = []
         while len(self._finished) > self._max_finished_jobs or (
             self._finished_bytes > self._max_finished_bytes and len(self._finished) > 1
         ):
-            self.evict(next(iter(self._finished)))
+            evicted.append(next(iter(self._finished)))
+            self.evict(evicted[-1])
+        return evicted
 
     def evict(self, number: int) -> None:
         """Drop a finished job and raise the watermark to its number; a job already evicted is no error."""
--- a/src/cactusgauge/jobs/session_store.py
+++ b/src/cactusgauge/jobs/session_store.py
@@ -56,18 +56,18 @@
         session = self._sessions.get(job.id.session)
         if session is None:
             return
-        session.mark_finished(job.id.number)
-        self._finished[job.id] = job.held_bytes
-        self._finished_bytes += job.held_bytes
+        size = job.held_bytes
+        self._finished[job.id] = size
+        self._finished_bytes += size
+        for number in session.mark_finished(job.id.number):
+            self._forget(ids.JobId(session.id, number))
         while self._finished_bytes > self._max_finished_bytes and len(self._finished) > 1:
-            self._evict_oldest()
+            oldest = next(iter(self._finished))
+            self._forget(oldest)
+            self._sessions[oldest.session].evict(oldest.number)
 
-    def _evict_oldest(self) -> None:
-        job_id = next(iter(self._finished))
+    def _forget(self, job_id: ids.JobId) -> None:
         self._finished_bytes -= self._finished.pop(job_id)
-        session = self._sessions.get(job_id.session)
-        if session is not None:
-            session.evict(job_id.number)
 
     def expire_idle(self, now: float) -> int:
         """Drop sessions without open jobs that were not used for IDLE_SESSION_S; return how many."""
@@ -77,5 +77,6 @@
             if not held.has_open_jobs and now - held.last_used > IDLE_SESSION_S
         ]
         for session_id in idle:
-            del self._sessions[session_id]
+            for job in self._sessions.pop(session_id).jobs:
+                self._forget(job.id)
         return len(idle)
