--- a/tests/unit/jobs/test_session_store.py
+++ b/tests/unit/jobs/test_session_store.py
@@ -59,9 +59,10 @@
         except exceptions.JobConflictError:
             assert self.ran[job_id] != digest
             return
-        except exceptions.JobExpiredError:
+        except exceptions.JobExpiredError as error:
             assert job_id not in self.open
             assert job_id not in self.kept
+            assert error.ran is exceptions.Ran.UNKNOWN
             return
         if attached is not None:
             assert self.ran[job_id] == digest
