Count the memory of payloads, not their characters

Cause: held_bytes used len() of the payload text, but a text with any character outside the basic plane takes four bytes for each of its characters. Ruled out: objects of tasks and requests; for ASCII payloads the allocated memory stays within 1.25 times the bound. Before: 1.7 MB allocated under a bound of 1 MB with such payloads, counted by tracemalloc. After: within 1.25 times the bound for both kinds of payload. Conclusion: the bound holds for what is allocated.

--- a/src/cactusgauge/jobs/job.py
+++ b/src/cactusgauge/jobs/job.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+import sys
 
 from cactusgauge import ids
 from cactusgauge.jobs import answer, job_request, task
@@ -96,7 +97,8 @@
     @property
     def held_bytes(self) -> int:
         """Approximate memory of the job: payloads, results and TASK_OVERHEAD_BYTES for each task."""
-        return sum(len(each.request.payload) + len(each.result) + TASK_OVERHEAD_BYTES for each in self._tasks)
+        # A character of a payload takes up to four bytes, which only getsizeof tells.
+        return sum(sys.getsizeof(each.request.payload) + len(each.result) + TASK_OVERHEAD_BYTES for each in self._tasks)
 
     @property
     def queued_tasks(self) -> list[task.Task]:
--- a/tests/unit/jobs/test_session_store.py
+++ b/tests/unit/jobs/test_session_store.py
@@ -133,7 +133,7 @@
     assert len(sessions[1].jobs) == 2
 
 
-@pytest.mark.parametrize("character", ["p"])
+@pytest.mark.parametrize("character", ["p", "\N{CHEESE WEDGE}"])
 def test_memory_stays_within_the_bound_when_no_answer_is_fetched(character: str) -> None:
     """Guards against memory that grows with callers who only submit; allocations are counted, not estimated."""
     bound = 1_000_000
