--- /dev/null
+++ b/src/cactusgauge/configuration/catalogue.py
@@ -0,0 +1,118 @@
+"""Templates and workspaces together, resolved into the settings of each workspace."""
+
+import json
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import pydantic
+
+from cactusgauge.configuration import template as template_module
+from cactusgauge.configuration import workspace_config
+
+if TYPE_CHECKING:
+    from cactusgauge import ids
+
+MAX_VALUE_CHARS = 60
+
+
+class Problem(NamedTuple):
+    """Why a catalogue is not valid, at a dotted path such as `workspaces.cheese.parameters.slots`."""
+
+    path: str
+    value: object
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.expected} (found {repr(self.value)[:MAX_VALUE_CHARS]})"
+
+
+class Catalogue(pydantic.BaseModel):
+    """All templates and workspaces by name; valid if every workspace resolves."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    templates: dict[template_module.Name, template_module.Template] = {}
+    workspaces: dict[template_module.WorkspaceKey, template_module.WorkspaceEntry] = {}
+
+    def resolve(self) -> "tuple[dict[ids.WorkspaceName, workspace_config.WorkspaceConfig], list[Problem]]":
+        """Return the settings of each workspace that resolves, and the problems of the others."""
+        configs: dict[ids.WorkspaceName, workspace_config.WorkspaceConfig] = {}
+        problems: list[Problem] = []
+        for name, template in self.templates.items():
+            problems += self._check_references(name, template)
+        for workspace in self.workspaces:
+            config, found = self._resolve_workspace(workspace)
+            problems += found
+            if config is not None:
+                configs[workspace] = config
+        return configs, problems
+
+    @staticmethod
+    def _check_references(name: str, template: template_module.Template) -> list[Problem]:
+        problems = []
+        for key, value in template.settings.items():
+            path = f"templates.{name}.settings.{key}"
+            if key not in workspace_config.WorkspaceConfig.model_fields or key == "name":
+                problems.append(Problem(path, value, "is not a known setting"))
+            parameter = _parameter_of(value)
+            if parameter is not None and parameter not in template.parameters:
+                problems.append(Problem(path, value, "a parameter of this template is expected"))
+        return problems
+
+    def _resolve_workspace(
+        self, workspace: "ids.WorkspaceName"
+    ) -> tuple[workspace_config.WorkspaceConfig | None, list[Problem]]:
+        entry = self.workspaces[workspace]
+        base = f"workspaces.{workspace}"
+        template = self.templates.get(entry.template)
+        if template is None:
+            return None, [Problem(f"{base}.template", entry.template, "the name of a template is expected")]
+        problems = [
+            Problem(f"{base}.parameters.{name}", value, f"is not a parameter of template {entry.template}")
+            for name, value in entry.parameters.items()
+            if name not in template.parameters
+        ]
+        values = {name: spec.default for name, spec in template.parameters.items()} | entry.parameters
+        problems += [
+            Problem(
+                f"{base}.parameters.{name}", "nothing", f"a value is expected, as template {entry.template} has none"
+            )
+            for name in template.parameters
+            if values[name] is None
+        ]
+        if problems:
+            return None, problems
+        settings = {key: values.get(_parameter_of(value) or "", value) for key, value in template.settings.items()}
+        return self._validate(workspace, settings)
+
+    def _validate(
+        self, workspace: "ids.WorkspaceName", settings: dict[str, Any]
+    ) -> tuple[workspace_config.WorkspaceConfig | None, list[Problem]]:
+        document = json.dumps({**settings, "name": workspace})
+        try:
+            # Strict, because a text that merely looks like a number is more often a mistake than meant.
+            return workspace_config.WorkspaceConfig.model_validate_json(document, strict=True), []
+        except pydantic.ValidationError as error:
+            return None, [
+                Problem(self._origin(workspace, details["loc"]), details["input"], details["msg"])
+                for details in error.errors(include_url=False)
+                # A setting that is not known is a problem of the template, which is reported once.
+                if details["type"] != "extra_forbidden"
+            ]
+
+    def _origin(self, workspace: "ids.WorkspaceName", location: tuple[int | str, ...]) -> str:
+        entry = self.workspaces[workspace]
+        if not location or str(location[0]) not in self.templates[entry.template].settings:
+            return f"workspaces.{workspace}"
+        key, *rest = (str(part) for part in location)
+        parameter = _parameter_of(self.templates[entry.template].settings[key])
+        if parameter is None:
+            return ".".join(["templates", entry.template, "settings", key, *rest])
+        if parameter in entry.parameters:
+            return ".".join(["workspaces", workspace, "parameters", parameter, *rest])
+        return ".".join(["templates", entry.template, "parameters", parameter, "default", *rest])
+
+
+def _parameter_of(value: object) -> str | None:
+    if isinstance(value, str) and value.startswith(template_module.PARAMETER_MARK):
+        return value[len(template_module.PARAMETER_MARK) :]
+    return None
--- a/src/cactusgauge/configuration/config_source.py
+++ b/src/cactusgauge/configuration/config_source.py
@@ -4,7 +4,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cactusgauge.configuration import configuration
+    from collections import abc as collections_abc
+
+    from cactusgauge import observability
+    from cactusgauge.configuration import configuration, peer_states, state_document
 
 
 class ConfigSource(abc.ABC):
@@ -14,3 +17,17 @@
     @abc.abstractmethod
     def current(self) -> "configuration.Configuration | None":
         """The configuration in force; its version never decreases."""
+
+    @abc.abstractmethod
+    def document(self) -> "state_document.StateDocument | None":
+        """Return the state for peers, or None while there is none."""
+
+    @abc.abstractmethod
+    async def follow(
+        self,
+        peers: "peer_states.PeerStates",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        on_change: "collections_abc.Callable[[], None]",
+    ) -> None:
+        """Keep `current` up to date until cancelled; call `on_change` after each change of it."""
--- /dev/null
+++ b/src/cactusgauge/configuration/config_state.py
@@ -0,0 +1,127 @@
+"""The aggregate that all readers of the configuration stream build in the same way."""
+
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from cactusgauge import exceptions
+from cactusgauge.configuration import acceptance_rule, change_record, configuration, state_document
+from cactusgauge.configuration import catalogue as catalogue_module
+from cactusgauge.configuration import verdict as verdict_module
+
+if TYPE_CHECKING:
+    from cactusgauge import ids
+    from cactusgauge.configuration import workspace_config
+
+
+class ConfigState:
+    """The configuration after the records through an offset, applied in log order."""
+
+    def __init__(self, rule: acceptance_rule.AcceptanceRule | None = None) -> None:
+        self._rule = rule or acceptance_rule.BaseVersionRule()
+        self._through = change_record.NO_VERSION
+        self._version = change_record.NO_VERSION
+        self._catalogue = catalogue_module.Catalogue()
+        self._configs: dict[ids.WorkspaceName, workspace_config.WorkspaceConfig] = {}
+        self._versions: dict[str, int] = {}
+        self._verdicts: dict[str, verdict_module.Verdict] = {}
+
+    @property
+    def through(self) -> int:
+        """Offset of the last record applied, -1 for none."""
+        return self._through
+
+    @property
+    def version(self) -> int:
+        """Offset of the last accepted change, -1 for none."""
+        return self._version
+
+    @property
+    def catalogue(self) -> catalogue_module.Catalogue:
+        """The templates and workspaces."""
+        return self._catalogue
+
+    @property
+    def verdicts(self) -> list[verdict_module.Verdict]:
+        """The decisions about the latest changes, oldest first."""
+        return list(self._verdicts.values())
+
+    @property
+    def configuration(self) -> configuration.Configuration | None:
+        """The resolved configuration, or None before the first accepted change."""
+        if self._version == change_record.NO_VERSION:
+            return None
+        return configuration.Configuration(self._version, dict(self._configs))
+
+    def version_of(self, name: str) -> int:
+        """Return the version of `templates.NAME` or `workspaces.NAME`, -1 if it never existed."""
+        return self._versions.get(name, change_record.NO_VERSION)
+
+    def find_verdict(self, change_id: str) -> verdict_module.Verdict | None:
+        """Return the decision about a change, if it is still held."""
+        return self._verdicts.get(change_id)
+
+    def problems_of(self, change: change_record.ChangeRecord) -> list[catalogue_module.Problem]:
+        """Return why the state after a change would not be valid."""
+        return change.apply_to(self._catalogue).resolve()[1]
+
+    def apply(self, offset: int, data: bytes) -> None:
+        """Apply the record at an offset; a record that was applied is ignored."""
+        if offset <= self._through:
+            return
+        if offset != self._through + 1:
+            raise exceptions.LogGapError(f"record {offset} follows record {self._through}")
+        self._through = offset
+        for change_id in [each.id for each in self._verdicts.values() if self._rule.is_settled(each, offset)]:
+            del self._verdicts[change_id]
+        change = self._parse(data)
+        if change is not None and change.id not in self._verdicts:
+            self._decide(offset, change)
+
+    def document(self) -> state_document.StateDocument:
+        """Return the state for a peer or a snapshot."""
+        return state_document.StateDocument.model_construct(
+            through=self._through,
+            version=self._version,
+            catalogue=self._catalogue,
+            versions=dict(self._versions),
+            verdicts=self.verdicts,
+        )
+
+    def adopt(self, document: state_document.StateDocument) -> bool:
+        """Replace the state by one that holds through a higher offset; return whether it did."""
+        if document.through <= self._through or document.version < self._version:
+            return False
+        self._through = document.through
+        self._version = document.version
+        self._catalogue = document.catalogue
+        self._configs, _ = document.catalogue.resolve()
+        self._versions = dict(document.versions)
+        self._verdicts = {each.id: each for each in document.verdicts}
+        return True
+
+    @staticmethod
+    def _parse(data: bytes) -> change_record.ChangeRecord | None:
+        try:
+            return change_record.ChangeRecord.model_validate_json(data, strict=True)
+        except pydantic.ValidationError:
+            return None  # snapshots, and records that no reader can decode
+
+    def _decide(self, offset: int, change: change_record.ChangeRecord) -> None:
+        catalogue = change.apply_to(self._catalogue)
+        configs, problems = catalogue.resolve()
+        decision = self._rule.decide(change, offset, self._versions, problems)
+        self._verdicts[change.id] = verdict_module.Verdict(
+            offset=offset,
+            through=change.through,
+            id=change.id,
+            author=change.author,
+            names=change.names,
+            outcome=decision.outcome,
+            reason=decision.reason,
+            lost_to=list(decision.lost_to),
+        )
+        if decision.outcome is verdict_module.Outcome.ACCEPTED:
+            self._version = offset
+            self._catalogue, self._configs = catalogue, configs
+            self._versions |= dict.fromkeys(change.names, offset)
--- /dev/null
+++ b/src/cactusgauge/configuration/log_config_source.py
@@ -0,0 +1,144 @@
+"""The configuration as published on the platform log."""
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from cactusgauge import exceptions
+from cactusgauge.configuration import config_log, config_source
+
+if TYPE_CHECKING:
+    from collections import abc as collections_abc
+
+    from cactusgauge import observability, platform
+    from cactusgauge.configuration import configuration, peer_states, state_document
+
+POLL_S = 0.5
+CHECKS_BEHIND = 2  # a peer that polled a moment earlier is no reason to ask it
+SNAPSHOT_RECORDS = 100  # keeps a start from a trimmed log to a few pages
+SNAPSHOT_INTERVAL_S = 600.0  # far below any retention of a platform log
+SNAPSHOT_JITTER_S = 10.0  # the entries that see another one's snapshot in this time write none
+
+
+class LogConfigSource(config_source.ConfigSource):
+    """Follows the log, and takes the state from a peer that is ahead while the log does not serve.
+
+    The state is a function of the log's records through an offset, whichever way it came here, and is only replaced by
+    one that holds through a higher offset. There is no configuration before the first state.
+    """
+
+    def __init__(self, log: "platform.LogService", seed: str) -> None:
+        self._log = config_log.ConfigLog(log)
+        self._random = random.Random(seed)
+        self._current: configuration.Configuration | None = None
+        self._log_state = ""
+        self._snapshot_due_at: float | None = None
+        self._snapshot_seen_at = 0.0
+        self._snapshot_seen_through: int | None = None
+
+    @property
+    def current(self) -> "configuration.Configuration | None":
+        """The configuration in force; its version never decreases."""
+        return self._current
+
+    def document(self) -> "state_document.StateDocument | None":
+        """Return the state for peers, or None while there is none."""
+        return self._log.state.document() if self._current is not None else None
+
+    async def follow(
+        self,
+        peers: "peer_states.PeerStates",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        on_change: "collections_abc.Callable[[], None]",
+    ) -> None:
+        """Follow the log and the peers until cancelled."""
+        self._snapshot_seen_at = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as group:
+            # Two tasks, so that a log that is slow to answer does not delay the state from a peer.
+            group.create_task(self._follow_log(counters, events, on_change))
+            group.create_task(self._follow_peers(peers, counters, events, on_change))
+
+    async def _follow_log(
+        self,
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        on_change: "collections_abc.Callable[[], None]",
+    ) -> None:
+        while True:
+            try:
+                end_offset = await self._log.catch_up()
+            except exceptions.LogServiceError as error:
+                counters.add("config_polls_failed", "", error.code)
+                self._note_log_state(events, error.code, str(error))
+            else:
+                lost = end_offset <= self._log.state.version
+                self._note_log_state(events, "behind" if lost else "followed", f"end offset {end_offset}")
+                await self._write_snapshot(counters)
+            self._put_in_force("log", events, on_change)
+            await asyncio.sleep(POLL_S)
+
+    async def _follow_peers(
+        self,
+        peers: "peer_states.PeerStates",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        on_change: "collections_abc.Callable[[], None]",
+    ) -> None:
+        checks_behind = 0
+        while True:
+            await asyncio.sleep(POLL_S)
+            version = self._log.state.version
+            ahead = {url: each for url, each in peers.versions().items() if each > version}
+            checks_behind = checks_behind + 1 if ahead else 0
+            if not ahead or (checks_behind < CHECKS_BEHIND and self._current is not None):
+                continue
+            highest = max(ahead.values())
+            url = self._random.choice(sorted(url for url, each in ahead.items() if each == highest))
+            document = await peers.fetch(url)
+            counters.add("config_peer_fetches", "", "failed" if document is None else "done")
+            if document is not None and self._log.state.adopt(document):
+                self._put_in_force(url, events, on_change)
+
+    def _put_in_force(
+        self, origin: str, events: "observability.EventRing", on_change: "collections_abc.Callable[[], None]"
+    ) -> None:
+        found = self._log.state.configuration
+        if found is None or (self._current is not None and found.version <= self._current.version):
+            return
+        self._current = found
+        events.record_state("config_in_force", version=found.version, origin=origin)
+        on_change()
+
+    def _note_log_state(self, events: "observability.EventRing", state: str, detail: str) -> None:
+        if state != self._log_state:
+            self._log_state = state
+            events.record_state("config_log", state=state, detail=detail)
+
+    async def _write_snapshot(self, counters: "observability.Counters") -> None:
+        now = asyncio.get_running_loop().time()
+        if self._log.snapshot_through != self._snapshot_seen_through:
+            self._snapshot_seen_through = self._log.snapshot_through
+            self._snapshot_seen_at = now
+            self._snapshot_due_at = None
+        if not self._is_snapshot_wanted(now):
+            return
+        if self._snapshot_due_at is None:
+            self._snapshot_due_at = now + self._random.uniform(0, SNAPSHOT_JITTER_S)
+        if now < self._snapshot_due_at:
+            return
+        # Also after a failure, so that an entry writes at most one snapshot in SNAPSHOT_JITTER_S.
+        self._snapshot_due_at = now + SNAPSHOT_JITTER_S
+        try:
+            await self._log.append_snapshot()
+            counters.add("config_snapshots", "", "written")
+        except exceptions.LogServiceError:
+            counters.add("config_snapshots", "", "failed")
+
+    def _is_snapshot_wanted(self, now: float) -> bool:
+        if self._current is None:
+            return False
+        covered = self._snapshot_seen_through if self._snapshot_seen_through is not None else -1
+        if self._log.state.through - covered >= SNAPSHOT_RECORDS:
+            return True
+        return now - self._snapshot_seen_at >= SNAPSHOT_INTERVAL_S
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -46,6 +46,12 @@
     code = "log_unavailable"
 
 
+class LogGapError(LogServiceError):
+    """Records that are needed are no longer retained and nothing on the log replaces them."""
+
+    code = "log_gap"
+
+
 class RequestError(CactusgaugeError):
     """A caller's request is refused and nothing of it ran."""
 
--- /dev/null
+++ b/src/cactusgauge/platform/log_service.py
@@ -0,0 +1,37 @@
+"""The platform's append-only log."""
+
+import abc
+from typing import NamedTuple
+
+
+class LogRecord(NamedTuple):
+    """A record and its offset."""
+
+    offset: int
+    data: bytes
+
+
+class LogPage(NamedTuple):
+    """The answer to a read: consecutive records, the first offset retained and the offset of the next append."""
+
+    records: list[LogRecord]
+    first_offset: int
+    end_offset: int
+
+
+class LogService(abc.ABC):
+    """Streams of records; the offsets of a stream are consecutive integers from 0."""
+
+    @abc.abstractmethod
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset.
+
+        Raise `LogServiceError` if no reply says so; the record may or may not have been appended.
+        """
+
+    @abc.abstractmethod
+    async def read(self, stream: str, offset: int, limit: int) -> LogPage:
+        """Return at most `limit` records from `offset`, or from the first one retained if that is higher.
+
+        Raise `LogServiceError` if the log does not answer.
+        """
--- a/src/cactusgauge/settings/settings_loader.py
+++ b/src/cactusgauge/settings/settings_loader.py
@@ -1,19 +1,16 @@
 """Reads and checks settings files."""
 
 import pathlib
-from typing import Any
 
 import pydantic
-import yaml
 
 from cactusgauge import exceptions
-from cactusgauge.settings import daemon_settings, finding
+from cactusgauge.settings import daemon_settings, finding, yaml_document
 
 ROLES: dict[str, type[daemon_settings.DaemonSettings]] = {
     "entry": daemon_settings.EntrySettings,
     "agent": daemon_settings.AgentSettings,
 }
-MAX_VALUE_CHARS = 60
 
 
 class SettingsLoader:
@@ -21,63 +18,21 @@
 
     def __init__(self, path: pathlib.Path) -> None:
         self._path = path
-        self._lines: dict[str, int] = {}
 
     def load(self) -> daemon_settings.EntrySettings | daemon_settings.AgentSettings:
         """Return the settings; raise `SettingsError` that lists every finding on a line of its own."""
-        document = self._read()
-        model = ROLES.get(str(document.get("role")))
+        document = yaml_document.YamlDocument(self._path)
+        model = ROLES.get(str(document.value.get("role")))
         if model is None:
-            found = document.get("role", "nothing")
-            raise self._error([self._finding("role", found, "one of entry, agent is expected")])
+            found = document.value.get("role", "nothing")
+            raise self._error([document.finding("role", found, "one of entry, agent is expected")])
         try:
-            loaded = model.model_validate(document)
+            loaded = model.model_validate(document.value)
         except pydantic.ValidationError as error:
-            raise self._error(self._findings(error, document)) from error
+            raise self._error(document.findings(error)) from error
         assert isinstance(loaded, daemon_settings.EntrySettings | daemon_settings.AgentSettings)
         return loaded
 
-    def _read(self) -> dict[str, Any]:
-        try:
-            text = self._path.read_text()
-            root = yaml.compose(text, Loader=yaml.SafeLoader)
-            document = yaml.safe_load(text)
-        except OSError as error:
-            raise exceptions.SettingsError(f"{self._path}: cannot be read: {error.strerror}") from error
-        except (yaml.YAMLError, UnicodeDecodeError) as error:
-            raise exceptions.SettingsError(f"{self._path}: is not YAML: {' '.join(str(error).split())}") from error
-        if not isinstance(document, dict):
-            raise exceptions.SettingsError(f"{self._path}: a mapping of settings is expected")
-        self._note_lines(root, "")
-        return document
-
-    def _note_lines(self, node: yaml.Node | None, path: str) -> None:
-        if node is None:
-            return
-        self._lines.setdefault(path, node.start_mark.line + 1)
-        if isinstance(node, yaml.MappingNode):
-            for key, value in node.value:
-                child = f"{path}.{key.value}" if path else str(key.value)
-                self._lines[child] = key.start_mark.line + 1
-                self._note_lines(value, child)
-        elif isinstance(node, yaml.SequenceNode):
-            for index, value in enumerate(node.value):
-                self._note_lines(value, f"{path}.{index}" if path else str(index))
-
-    def _findings(self, error: pydantic.ValidationError, document: dict[str, Any]) -> list[finding.Finding]:
-        return [
-            self._finding(
-                ".".join(str(part) for part in details["loc"]),
-                "nothing" if details["type"] == "missing" else details["input"],
-                "is not a known setting" if details["type"] == "extra_forbidden" else details["msg"],
-            )
-            for details in error.errors(include_url=False)
-        ]
-
-    def _finding(self, path: str, value: object, expected: str) -> finding.Finding:
-        line = self._lines.get(path, self._lines.get(path.rpartition(".")[0], 1))
-        return finding.Finding(str(self._path), line, path, repr(value)[:MAX_VALUE_CHARS], expected)
-
     @staticmethod
     def _error(findings: list[finding.Finding]) -> exceptions.SettingsError:
         return exceptions.SettingsError("\n".join(str(each) for each in findings))
--- /dev/null
+++ b/src/cactusgauge/settings/yaml_document.py
@@ -0,0 +1,75 @@
+"""A YAML file whose findings name the line of each value."""
+
+import pathlib
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from cactusgauge import exceptions
+from cactusgauge.settings import finding
+
+if TYPE_CHECKING:
+    import pydantic
+
+MAX_VALUE_CHARS = 60
+
+
+class YamlDocument:
+    """Reads a mapping from a YAML file and knows on which line each path stands."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._lines: dict[str, int] = {}
+        self._value = self._read()
+
+    @property
+    def value(self) -> dict[str, Any]:
+        """The mapping that the file holds."""
+        return self._value
+
+    def findings(self, error: "pydantic.ValidationError") -> list[finding.Finding]:
+        """Return one finding for each error of a validation of `value`."""
+        return [
+            self.finding(
+                ".".join(str(part) for part in details["loc"]),
+                "nothing" if details["type"] == "missing" else details["input"],
+                "is not a known setting" if details["type"] == "extra_forbidden" else details["msg"],
+            )
+            for details in error.errors(include_url=False)
+        ]
+
+    def finding(self, path: str, value: object, expected: str) -> finding.Finding:
+        """Return a finding at a dotted path; a missing value is placed at its nearest parent in the file."""
+        return finding.Finding(str(self._path), self._line(path), path, repr(value)[:MAX_VALUE_CHARS], expected)
+
+    def _line(self, path: str) -> int:
+        while path and path not in self._lines:
+            path = path.rpartition(".")[0]
+        return self._lines.get(path, 1)
+
+    def _read(self) -> dict[str, Any]:
+        try:
+            text = self._path.read_text()
+            root = yaml.compose(text, Loader=yaml.SafeLoader)
+            document = yaml.safe_load(text)
+        except OSError as error:
+            raise exceptions.SettingsError(f"{self._path}: cannot be read: {error.strerror}") from error
+        except (yaml.YAMLError, UnicodeDecodeError) as error:
+            raise exceptions.SettingsError(f"{self._path}: is not YAML: {' '.join(str(error).split())}") from error
+        if not isinstance(document, dict):
+            raise exceptions.SettingsError(f"{self._path}: a mapping of settings is expected")
+        self._note_lines(root, "")
+        return document
+
+    def _note_lines(self, node: yaml.Node | None, path: str) -> None:
+        if node is None:
+            return
+        self._lines.setdefault(path, node.start_mark.line + 1)
+        if isinstance(node, yaml.MappingNode):
+            for key, value in node.value:
+                child = f"{path}.{key.value}" if path else str(key.value)
+                self._lines[child] = key.start_mark.line + 1
+                self._note_lines(value, child)
+        elif isinstance(node, yaml.SequenceNode):
+            for index, value in enumerate(node.value):
+                self._note_lines(value, f"{path}.{index}" if path else str(index))
--- /dev/null
+++ b/src/emulator/memory_log.py
@@ -0,0 +1,82 @@
+"""The platform's log in memory, with the faults that the real one has."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from cactusgauge import exceptions
+from cactusgauge.platform import log_service
+
+if TYPE_CHECKING:
+    from collections import abc
+
+
+class LogFaults(pydantic.BaseModel):
+    """Faults in force; `lose_replies` is how many of the next appends take effect without a reply."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    unavailable: bool = False
+    delay_s: float = pydantic.Field(default=0.0, ge=0)
+    lose_replies: int = pydantic.Field(default=0, ge=0)
+    appends_per_s: float | None = pydantic.Field(default=None, gt=0)
+
+
+class MemoryLog(log_service.LogService):
+    """Streams in memory; `on_append`, if set, is called after each append with the stream and the offset."""
+
+    def __init__(self) -> None:
+        self.faults = LogFaults()
+        self.on_append: abc.Callable[[str, int], None] | None = None
+        self._streams: dict[str, list[bytes]] = {}
+        self._first_offsets: dict[str, int] = {}
+        self._next_append_at = 0.0
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset."""
+        await self._wait()
+        self._limit_rate()
+        offset = self.append_now(stream, data)
+        if self.faults.lose_replies:
+            self.faults.lose_replies -= 1
+            raise exceptions.LogServiceError("reply lost after the append took effect")
+        return offset
+
+    async def read(self, stream: str, offset: int, limit: int) -> log_service.LogPage:
+        """Return at most `limit` records from `offset`, or from the first one retained if that is higher."""
+        await self._wait()
+        records = self._streams.get(stream, [])
+        first = self._first_offsets.get(stream, 0)
+        start = max(offset, first)
+        page = [log_service.LogRecord(start + index, data) for index, data in enumerate(records[start : start + limit])]
+        return log_service.LogPage(page, first, len(records))
+
+    def append_now(self, stream: str, data: bytes) -> int:
+        """Append without any fault; return the offset."""
+        records = self._streams.setdefault(stream, [])
+        records.append(data)
+        offset = len(records) - 1
+        if self.on_append is not None:
+            self.on_append(stream, offset)
+        return offset
+
+    def trim(self, stream: str, first_offset: int) -> None:
+        """Drop the records below an offset."""
+        end = len(self._streams.get(stream, []))
+        first = min(max(first_offset, self._first_offsets.get(stream, 0)), end)
+        self._first_offsets[stream] = first
+
+    async def _wait(self) -> None:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.unavailable:
+            raise exceptions.LogServiceError("log unavailable")
+
+    def _limit_rate(self) -> None:
+        if self.faults.appends_per_s is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if now < self._next_append_at:
+            raise exceptions.LogServiceError("append rate exceeded")
+        self._next_append_at = now + 1 / self.faults.appends_per_s
