Take the configuration from the platform log in entries and agents

Entries followed a static default. An entry now follows the log, asks a peer that is ahead while the log does not serve, and is neither ready nor preferred for new sessions before it has a state. Agents get their slots from the entries, keep the highest version over all links and serve nothing before the first. The protocol version is 2, as an agent of version 1 closes the link on the new message.

--- a/src/cactusgauge/agent/agent_daemon.py
+++ b/src/cactusgauge/agent/agent_daemon.py
@@ -69,6 +69,7 @@
             "workspace": self._settings.workspace,
             "data_centre": self._settings.data_centre,
             "ready": self.is_ready,
+            "config_version": self._controller.config_version if self._controller else -1,
             "backend_server": {"name": lease.name, "url": lease.url} if lease else None,
             "slots": self._gate.slots,
             "running": self._gate.running,
--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -135,6 +135,8 @@
                 self._controller.set_demand(ledger, message.demand)
             case wire.Entries():
                 self._directory.report(url, message.entries)
+            case wire.AgentConfig():
+                self._controller.configure(message)
             case wire.Seal():
                 link.post(self._controller.seal(message))
             case _:
--- a/src/cactusgauge/agent/slot_gate.py
+++ b/src/cactusgauge/agent/slot_gate.py
@@ -15,9 +15,13 @@
 
     @property
     def slots(self) -> int:
-        """The hard limit."""
+        """The limit in force."""
         return self._slots
 
+    @slots.setter
+    def slots(self, slots: int) -> None:
+        self._slots = slots
+
     @property
     def running(self) -> int:
         """Number of tasks that hold a slot."""
--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from cactusgauge import ids, jobs, wire
+from cactusgauge import configuration, ids, jobs, wire
 from cactusgauge.agent import entry_ledger
 
 if TYPE_CHECKING:
@@ -38,11 +38,18 @@
         self._flush_scheduled = False
         self._draining = False
         self._shown_serving = False
+        self._configuration = configuration.AgentConfiguration(gate.slots)
+        gate.slots = self._configuration.slots
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, -1 before the first."""
+        return self._configuration.version
 
     @property
     def serving(self) -> bool:
         """Whether new work is taken now."""
-        return not self._draining and self._lease.valid is not None
+        return not self._draining and self._lease.valid is not None and self._gate.slots > 0
 
     @property
     def ledgers(self) -> list[entry_ledger.EntryLedger]:
@@ -92,6 +99,14 @@
         self._gate.set_demand(ledger.incarnation, demand)
         self._schedule_flush()
 
+    def configure(self, config: wire.AgentConfig) -> None:
+        """Put a version of the configuration in force and tell the entries; an older version is ignored."""
+        if not self._configuration.take(config.version, config.slots):
+            return
+        self._gate.slots = self._configuration.slots
+        self._events.record_state("config_in_force", version=config.version, slots=self._gate.slots)
+        self._show_state()
+
     def seal(self, seal: wire.Seal) -> wire.Sealed:
         """Start nothing more of a session and tell what is known of a job."""
         owner = ids.owner_of(seal.session)
@@ -109,8 +124,7 @@
         if self.serving != self._shown_serving:
             self._shown_serving = self.serving
             self._events.record_state("serving_changed", serving=self.serving)
-            for ledger in self._ledgers.values():
-                ledger.show_state(self._credit(ledger), self.serving)
+            self._show_state()
         self._starts.expire()
         for ledger in self._ledgers.values():
             ledger.expire()
@@ -125,6 +139,10 @@
         while any(ledger.link is not None and ledger.has_unacknowledged for ledger in self._ledgers.values()):
             await asyncio.sleep(0.05)
 
+    def _show_state(self) -> None:
+        for ledger in self._ledgers.values():
+            ledger.show_state(self._credit(ledger), self.serving)
+
     def _refusal(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> jobs.Reason:
         if ledger.is_sealed(start.session):
             return jobs.Reason.SEALED
--- a/src/cactusgauge/configuration/__init__.py
+++ b/src/cactusgauge/configuration/__init__.py
@@ -15,10 +15,11 @@
 from cactusgauge.configuration.static_config_source import StaticConfigSource
 from cactusgauge.configuration.template import Parameter, Template, WorkspaceEntry
 from cactusgauge.configuration.verdict import Outcome, Verdict
-from cactusgauge.configuration.workspace_config import OrderingName, PlacementName, WorkspaceConfig
+from cactusgauge.configuration.workspace_config import MAX_SLOTS, OrderingName, PlacementName, WorkspaceConfig
 
 __all__ = [
     "MAX_LAG",
+    "MAX_SLOTS",
     "STREAM",
     "AcceptanceRule",
     "AgentConfiguration",
--- a/src/cactusgauge/console/daemon.py
+++ b/src/cactusgauge/console/daemon.py
@@ -4,18 +4,15 @@
 import pathlib
 import signal
 import sys
-from typing import TYPE_CHECKING
 
+import aiohttp
 import click
 from absl import logging
 
-from cactusgauge import configuration, exceptions, settings
+from cactusgauge import configuration, exceptions, platform, settings
 from cactusgauge.agent import agent_daemon
 from cactusgauge.entry import entry_daemon
 
-if TYPE_CHECKING:
-    from cactusgauge import ids
-
 EXIT_BAD_SETTINGS = 2
 
 
@@ -52,21 +49,20 @@
 
 
 async def _run(own: settings.EntrySettings | settings.AgentSettings) -> None:
-    daemon: entry_daemon.EntryDaemon | agent_daemon.AgentDaemon
-    if isinstance(own, settings.EntrySettings):
-        daemon = entry_daemon.EntryDaemon(own, _config_source(own.workspaces))
-    else:
-        daemon = agent_daemon.AgentDaemon(own)
+    if isinstance(own, settings.AgentSettings):
+        await _run_daemon(agent_daemon.AgentDaemon(own))
+        return
+    async with aiohttp.ClientSession() as session:
+        log = platform.HttpLogService(session, own.log_url)
+        await _run_daemon(entry_daemon.EntryDaemon(own, configuration.LogConfigSource(log, own.name)))
+
+
+async def _run_daemon(daemon: entry_daemon.EntryDaemon | agent_daemon.AgentDaemon) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
     await daemon.run()
 
 
-def _config_source(workspaces: "list[ids.WorkspaceName]") -> configuration.ConfigSource:
-    configs = {name: configuration.WorkspaceConfig(name=name) for name in workspaces}
-    return configuration.StaticConfigSource(configuration.Configuration(0, configs))
-
-
 if __name__ == "__main__":
     main()
--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -43,6 +43,7 @@
         if not isinstance(resume, wire.Resume):
             raise exceptions.ProtocolError("Resume expected")
         dispatcher.attach(worker, link, resume)
+        self._post_configuration(dispatcher.workspace, worker)
         self._events.record_state("agent_linked", agent=hello.name, incarnation=hello.incarnation)
         try:
             while True:
@@ -64,6 +65,12 @@
             if worker.link is not None:
                 worker.link.post(message)
 
+    def broadcast_configuration(self) -> None:
+        """Tell all linked agents their part of the configuration in force."""
+        for dispatcher in self._service.dispatchers:
+            for worker in dispatcher.workers:
+                self._post_configuration(dispatcher.workspace, worker)
+
     async def seal(self, workspace: ids.WorkspaceName, job_id: ids.JobId) -> list[wire.Sealed]:
         """Seal a session at all linked agents of a workspace; return the replies that came in time."""
         replies = []
@@ -81,6 +88,11 @@
             del self._seal_replies[request]
         return [future.result() for future in futures if future.done()]
 
+    def _post_configuration(self, workspace: ids.WorkspaceName, worker: dispatch.RemoteWorker) -> None:
+        message = self._service.agent_config(workspace, worker.data_centre)
+        if message is not None and worker.link is not None:
+            worker.link.post(message)
+
     def _linked_workers(self) -> list[dispatch.RemoteWorker]:
         return [worker for dispatcher in self._service.dispatchers for worker in dispatcher.workers if worker.link]
 
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -9,6 +9,7 @@
 from cactusgauge import configuration, http_server, ids, observability, operations_resource, wire
 from cactusgauge.entry import (
     agent_links,
+    configuration_resource,
     forwarder,
     hand_over_store,
     job_recovery,
@@ -16,6 +17,7 @@
     jobs_resource,
     link_server,
     membership,
+    peer_configuration,
     peer_links,
     request_router,
 )
@@ -47,7 +49,7 @@
                 own.data_centre,
                 own.workspaces,
                 own.size,
-                True,
+                config_source.current is not None,
             )
         )
         codec = wire.FrameCodec()
@@ -102,7 +104,11 @@
             app = falcon.asgi.App()
             operations_resource.OperationsResource(self).add_to(app)
             jobs_resource.JobsResource(router, MAX_BODY_BYTES).add_to(app)
-            await self._run_parts(http_server.HttpServer(app, self._settings.host, self._settings.http_port))
+            configuration_resource.ConfigurationResource(self._config_source).add_to(app)
+            await self._run_parts(
+                http_server.HttpServer(app, self._settings.host, self._settings.http_port),
+                peer_configuration.PeerConfiguration(self._members, session),
+            )
 
     def status(self) -> dict[str, Any]:
         """Return the entry's view: itself, its peers, workers and queues."""
@@ -142,13 +148,16 @@
             "counters": self._counters.as_rows(),
         }
 
-    async def _run_parts(self, server: http_server.HttpServer) -> None:
+    async def _run_parts(self, server: http_server.HttpServer, peers: configuration.PeerStates) -> None:
         async with asyncio.TaskGroup() as group:
             serving = group.create_task(server.run_until_stopped())
             background = [
                 group.create_task(self._link_server.run()),
                 group.create_task(self._peers.run()),
                 group.create_task(self._sweep_forever()),
+                group.create_task(
+                    self._config_source.follow(peers, self._counters, self._events, self._apply_configuration)
+                ),
             ]
             self._events.record_state("entry_started", incarnation=self._members.own.incarnation)
             await self._stop.wait()
@@ -159,6 +168,12 @@
                 task.cancel()
         self._events.record_state("entry_stopped")
 
+    def _apply_configuration(self) -> None:
+        self._service.apply_configuration()
+        self._agents.broadcast_configuration()
+        self._members.set_serving(not self._stopping)
+        self._peers.broadcast(self._peers.beat())
+
     async def _drain(self) -> None:
         self._stopping = True
         self._service.drain()
--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -54,14 +54,21 @@
         return current.workspace(workspace)
 
     def dispatcher(self, workspace: ids.WorkspaceName) -> dispatch.Dispatcher:
-        """Return the dispatcher of a configured workspace."""
-        config = self.workspace_config(workspace)
+        """Return the dispatcher of a configured workspace; a removed one keeps its own for the accepted jobs."""
         found = self._dispatchers.get(workspace)
         if found is None:
+            config = self.workspace_config(workspace)
             found = dispatch.Dispatcher(config, self._counters, self._events, self._on_finished)
             self._dispatchers[workspace] = found
         return found
 
+    def agent_config(self, workspace: ids.WorkspaceName, data_centre: ids.DataCentreName) -> wire.AgentConfig | None:
+        """Return the part of the configuration for an agent, or None if the workspace was removed."""
+        current = self._config_source.current
+        if current is None or workspace not in current.workspaces:
+            return None
+        return wire.AgentConfig(current.version, current.workspaces[workspace].slots_in(data_centre))
+
     def apply_configuration(self) -> None:
         """Put the current configuration in force in all dispatchers."""
         current = self._config_source.current
--- /dev/null
+++ b/src/cactusgauge/entry/peer_configuration.py
@@ -0,0 +1,40 @@
+"""The configuration state of the other entries, over HTTP."""
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pydantic
+
+from cactusgauge import configuration
+from cactusgauge.entry import configuration_resource
+
+if TYPE_CHECKING:
+    from cactusgauge.entry import membership
+
+FETCH_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class PeerConfiguration(configuration.PeerStates):
+    """Versions from the peers' heartbeats, and their states by request."""
+
+    def __init__(self, members: "membership.Membership", session: aiohttp.ClientSession) -> None:
+        self._members = members
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version that each live peer last reported, by HTTP URL."""
+        return {info.http_url: self._members.config_version(info.name) for info in self._members.alive_peers}
+
+    async def fetch(self, url: str) -> configuration.StateDocument | None:
+        """Return a peer's state, or None if it gave none."""
+        try:
+            async with self._session.get(
+                f"{url}{configuration_resource.CONFIGURATION_PATH}", timeout=self._timeout, allow_redirects=False
+            ) as response:
+                if response.status != 200:
+                    return None
+                return configuration.StateDocument.model_validate_json(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, pydantic.ValidationError):
+            return None
--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -16,6 +16,12 @@
     return host
 
 
+def _check_http_url(url: str) -> str:
+    if not url.startswith("http://"):
+        raise ValueError("a URL of the form http://IP:PORT is expected")
+    return url
+
+
 def _check_link_url(url: str) -> str:
     if not url.startswith("ws://"):
         raise ValueError("a URL of the form ws://IP:PORT is expected")
@@ -23,6 +29,7 @@
 
 
 Host = Annotated[str, pydantic.AfterValidator(_check_host)]
+HttpUrl = Annotated[str, pydantic.AfterValidator(_check_http_url)]
 LinkUrl = Annotated[str, pydantic.AfterValidator(_check_link_url)]
 Port = Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
 
@@ -52,7 +59,7 @@
     link_port: Port
     workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
     size: float = pydantic.Field(default=1.0, gt=0)
-    log_url: str | None = None
+    log_url: HttpUrl
 
     @property
     def link_url(self) -> str:
--- a/src/cactusgauge/wire/__init__.py
+++ b/src/cactusgauge/wire/__init__.py
@@ -4,6 +4,7 @@
 from cactusgauge.wire.link import HEARTBEAT_S, SILENCE_S, Link
 from cactusgauge.wire.messages import (
     PROTOCOL_VERSION,
+    AgentConfig,
     AgentHello,
     AgentState,
     Assign,
@@ -31,6 +32,7 @@
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
     "SILENCE_S",
+    "AgentConfig",
     "AgentHello",
     "AgentState",
     "Assign",
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -8,7 +8,7 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class EntryInfo(NamedTuple):
@@ -118,6 +118,13 @@
     entries: list[EntryInfo]
 
 
+class AgentConfig(NamedTuple):
+    """The part of the configuration that an agent needs; a version not above the agent's is ignored."""
+
+    version: int
+    slots: int
+
+
 class Seal(NamedTuple):
     """Asks an agent to start nothing more of a session and to list what it holds of one job."""
 
@@ -198,6 +205,7 @@
     | PeerBeat
     | HandOver
     | HandOverDone
+    | AgentConfig
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -215,4 +223,5 @@
     PeerBeat,
     HandOver,
     HandOverDone,
+    AgentConfig,
 )
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -15,10 +15,14 @@
 
 import yaml
 
+from cactusgauge import configuration, ids
+
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LOG_NAME = "platform-log"
+TEMPLATE = "standard"
 
 
 def free_port() -> int:
@@ -65,8 +69,34 @@
     def __getitem__(self, name: str) -> ProcessHandle:
         return self._handles[name]
 
+    def start_log(self, publish: bool = True) -> ProcessHandle:
+        """Start the stand-in of the platform's log and publish a first configuration."""
+        port = free_port()
+        command = [sys.executable, "-m", "emulator.platform_log", "--port", str(port)]
+        handle = self._start(LOG_NAME, command, f"http://{HOST}:{port}")
+        self.wait_until(lambda: self.get_status(LOG_NAME, "/faults") == 200, "the log answers")
+        if publish:
+            self.append_change(self._first_change())
+        return handle
+
+    def set_log_faults(self, **faults: Any) -> None:
+        """Put faults of the log in force; what is not named is switched off."""
+        self._request("PUT", f"{self._handles[LOG_NAME].http_url}/faults", json.dumps(faults).encode())
+
+    def trim_log(self, first_offset: int) -> None:
+        """Drop the configuration records below an offset."""
+        url = f"{self._handles[LOG_NAME].http_url}/v1/streams/{configuration.STREAM}/trim?first={first_offset}"
+        self._request("POST", url, b"")
+
+    def append_change(self, change: configuration.ChangeRecord) -> None:
+        """Append a change to the log."""
+        url = f"{self._handles[LOG_NAME].http_url}/v1/streams/{configuration.STREAM}/records"
+        self._request("POST", url, change.model_dump_json().encode())
+
     def start_entry(self, name: str, **overrides: Any) -> ProcessHandle:
-        """Start an entry that knows the entries started before it."""
+        """Start an entry that knows the entries started before it; start the log first if none runs."""
+        if LOG_NAME not in self._handles:
+            self.start_log()
         http_port, link_port = free_port(), free_port()
         document = {
             "role": "entry",
@@ -77,6 +107,7 @@
             "link_port": link_port,
             "seeds": list(self._link_urls.values()),
             "workspaces": [self._workspace],
+            "log_url": self._handles[LOG_NAME].http_url,
             "drain_notice_s": 0.3,
             **overrides,
         }
@@ -169,6 +200,25 @@
                 starts[task_id] = starts.get(task_id, 0) + count
         return starts
 
+    def _first_change(self) -> configuration.ChangeRecord:
+        # The agents' own settings are the lower limit on slots.
+        template = configuration.Template(settings={"slots": configuration.MAX_SLOTS})
+        entry = configuration.WorkspaceEntry(template=TEMPLATE)
+        return configuration.ChangeRecord(
+            id="first",
+            author="emulator",
+            through=-1,
+            base={f"templates.{TEMPLATE}": -1, f"workspaces.{self._workspace}": -1},
+            templates={TEMPLATE: template},
+            workspaces={ids.WorkspaceName(self._workspace): entry},
+        )
+
+    @staticmethod
+    def _request(method: str, url: str, body: bytes) -> None:
+        request = urllib.request.Request(url, method=method, data=body)
+        with urllib.request.urlopen(request, timeout=5) as response:
+            response.read()
+
     def _start_daemon(self, name: str, document: dict[str, Any]) -> ProcessHandle:
         path = self._directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(document))
