Attach resubmissions whatever the limits are by then

With configuration that changes at run time, a resubmission of an accepted job was checked against today's limits and refused with 'nothing ran', although the job had run; the same happened after its workspace was removed, and at an entry without a configuration that had to recover the job. Ruled out: keeping the limits of each job, which would not help a removed workspace.

--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -1,6 +1,7 @@
 """What an entry does for the sessions that it owns."""
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 
 from cactusgauge import configuration, dispatch, exceptions, ids, jobs, wire
@@ -83,6 +84,19 @@
         config = self.workspace_config(workspace)
         return jobs.JobRequestParser(config.max_tasks_per_job, config.max_body_bytes).parse(body)
 
+    def parse_resubmitted(self, body: bytes) -> jobs.JobRequest:
+        """Return the request of a body that an earlier configuration may have admitted."""
+        return jobs.JobRequestParser(sys.maxsize, sys.maxsize).parse(body)
+
+    def attach(self, workspace: ids.WorkspaceName, job_id: ids.JobId, body: bytes) -> jobs.Job | None:
+        """Return the job that a body resubmits, if there is one; limits changed since then do not matter."""
+        session = self._sessions.get(job_id.session, workspace)
+        session.touch(asyncio.get_running_loop().time())
+        attached = session.attach(job_id.number, jobs.JobRequestParser.digest(body))
+        if attached is not None:
+            self._counters.add("jobs_resubmitted", workspace, "")
+        return attached
+
     def open_session(self, workspace: ids.WorkspaceName) -> ids.SessionId:
         """Open a session for a configured workspace."""
         self.workspace_config(workspace)
--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -71,7 +71,10 @@
         workspace, job_id = request.workspace, request.job_id
         match request.method:
             case caller_request.Method.SUBMIT:
-                job = self._service.submit(workspace, job_id, self._service.parse(workspace, request.body))
+                # A refusal by today's limits would be untruthful for a job that was accepted under earlier ones.
+                job = self._service.attach(workspace, job_id, request.body) or self._service.submit(
+                    workspace, job_id, self._service.parse(workspace, request.body)
+                )
             case caller_request.Method.GET:
                 job = self._service.find(workspace, job_id)
             case caller_request.Method.CANCEL:
@@ -83,7 +86,7 @@
     def _serve_handed_over(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         digest = None
         if request.method is caller_request.Method.SUBMIT:
-            digest = self._service.parse(request.workspace, request.body).digest
+            digest = jobs.JobRequestParser.digest(request.body)
         return caller_request.Reply(200, self._hand_overs.find(request.job_id, digest).answer)
 
     async def _ask_owner(self, request: caller_request.CallerRequest) -> caller_request.Reply | None:
@@ -108,7 +111,13 @@
 
     async def _recover(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         workspace = request.workspace
-        linked = any(worker.link for worker in self._service.dispatcher(workspace).workers)
+        try:
+            dispatcher = self._service.dispatcher(workspace)
+        except exceptions.NotReadyError as error:
+            raise exceptions.RecoveryNotReadyError(str(error)) from error
+        except exceptions.UnknownWorkspaceError as error:
+            raise exceptions.RecoveryWorkspaceError(str(error)) from error
+        linked = any(worker.link for worker in dispatcher.workers)
         if not linked and request.hop is caller_request.Hop.CALLER:
             for entry in self._members.preferred(workspace):
                 if entry.incarnation == self._members.own.incarnation:
@@ -118,7 +127,7 @@
                     return reply
         job_request: jobs.JobRequest | None = None
         if request.method is caller_request.Method.SUBMIT:
-            job_request = self._service.parse(workspace, request.body)
+            job_request = self._service.parse_resubmitted(request.body)
         answer = await self._recovery.recover(workspace, request.job_id, job_request, request.wait_s)
         if answer is None:
             return self._running(request.job_id, 0)
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -46,6 +46,12 @@
     code = "log_unavailable"
 
 
+class PublishError(CactusgaugeError):
+    """Whether a change was accepted could not be learned in time."""
+
+    code = "publish_unknown"
+
+
 class LogGapError(LogServiceError):
     """Records that are needed are no longer retained and nothing on the log replaces them."""
 
@@ -140,6 +146,21 @@
     retry_after_s = 1.0
 
 
+class RecoveryNotReadyError(CactusgaugeError):
+    """The owner of a session is not reachable and this entry has no configuration to reach its agents with."""
+
+    code = "not_ready"
+    http_status = 503
+    retry_after_s = 1.0
+
+
+class RecoveryWorkspaceError(CactusgaugeError):
+    """The owner of a session is not reachable and the configuration does not name the workspace any more."""
+
+    code = "unknown_workspace"
+    http_status = 404
+
+
 class OwnerSlowError(CactusgaugeError):
     """The owner of a session is alive but did not answer in time."""
 
