Add the operators' config command and tests of the configuration

The publisher decides by the same rule as the entries, so it learns the verdict without asking them, and repeats an append without a reply under the same id. Ruled out: asking the entries for verdicts, which fails while they are behind.

--- a/src/cactusgauge/configuration/acceptance_rule.py
+++ b/src/cactusgauge/configuration/acceptance_rule.py
@@ -42,10 +42,13 @@
 class BaseVersionRule(AcceptanceRule):
     """Accepts a change if its base versions are current and the result is valid.
 
-    A change that stands more than MAX_LAG offsets after the state it was made against is refused. Therefore an id that
-    is older than that need not be kept to recognise its repetition.
+    A change that stands more than `max_lag` offsets after the state it was made against is refused. Therefore an id
+    that is older than that need not be kept to recognise its repetition.
     """
 
+    def __init__(self, max_lag: int = MAX_LAG) -> None:
+        self._max_lag = max_lag
+
     def decide(
         self,
         change: change_record.ChangeRecord,
@@ -54,7 +57,7 @@
         problems: "collections_abc.Sequence[object]",
     ) -> Decision:
         """Decide by age, base versions and validity, in this order."""
-        if not offset - MAX_LAG <= change.through < offset:
+        if not offset - self._max_lag <= change.through < offset:
             reason = f"made against offset {change.through}, decided at offset {offset}; publish it again"
             return Decision(verdict_module.Outcome.EXPIRED, reason)
         stale = {
@@ -74,4 +77,4 @@
 
     def is_settled(self, verdict: verdict_module.Verdict, offset: int) -> bool:
         """Whether a repetition would be refused as expired."""
-        return max(verdict.offset, verdict.through) < offset - MAX_LAG
+        return max(verdict.offset, verdict.through) < offset - self._max_lag
--- a/src/cactusgauge/configuration/catalogue.py
+++ b/src/cactusgauge/configuration/catalogue.py
@@ -44,7 +44,8 @@
             problems += found
             if config is not None:
                 configs[workspace] = config
-        return configs, problems
+        # A wrong setting of a template shows in each of its workspaces.
+        return configs, list({(problem.path, problem.expected): problem for problem in problems}.values())
 
     @staticmethod
     def _check_references(name: str, template: template_module.Template) -> list[Problem]:
@@ -81,7 +82,13 @@
         ]
         if problems:
             return None, problems
-        settings = {key: values.get(_parameter_of(value) or "", value) for key, value in template.settings.items()}
+        settings = {}
+        for key, value in template.settings.items():
+            parameter = _parameter_of(value)
+            if parameter is None:
+                settings[key] = value
+            elif parameter in values:
+                settings[key] = values[parameter]
         return self._validate(workspace, settings)
 
     def _validate(
--- /dev/null
+++ b/src/cactusgauge/configuration/config_publisher.py
@@ -0,0 +1,49 @@
+"""Publishes changes on the log and learns what became of them."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cactusgauge import exceptions
+
+if TYPE_CHECKING:
+    from cactusgauge.configuration import change_record, config_log
+    from cactusgauge.configuration import verdict as verdict_module
+
+RETRY_S = 0.5
+
+
+class ConfigPublisher:
+    """Appends a change and decides about it by the same rule as every other reader of the log."""
+
+    def __init__(self, log: "config_log.ConfigLog") -> None:
+        self._log = log
+
+    async def publish(self, change: "change_record.ChangeRecord", timeout_s: float) -> "verdict_module.Verdict":
+        """Return the verdict about a change; raise `PublishError` if none is known in time.
+
+        An append without a reply is repeated: the same id is the same change.
+        """
+        appended = False
+        failure = "no reply"
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while asyncio.get_running_loop().time() < deadline:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    # Read first: an append whose reply was lost needs no repetition.
+                    await self._log.catch_up()
+                    verdict = self._log.state.find_verdict(change.id)
+                    if verdict is not None:
+                        return verdict
+                    if not appended:
+                        await self._log.append_change(change)
+                        appended = True
+                        continue
+            except exceptions.LogServiceError as error:
+                failure = str(error)
+            except TimeoutError:
+                break
+            await asyncio.sleep(RETRY_S)
+        raise exceptions.PublishError(
+            f"whether the change was accepted is unknown after {timeout_s:g} s ({failure}); "
+            f"publish again with --change-id {change.id} to learn it"
+        )
--- a/src/cactusgauge/console/config_commands.py
+++ b/src/cactusgauge/console/config_commands.py
@@ -1,8 +1,378 @@
 """Commands that publish and show configuration."""
 
+import asyncio
+import contextlib
+import functools
+import getpass
+import json
+import pathlib
+import sys
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
 import click
 
+from cactusgauge import configuration, exceptions, platform
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import settings
+
+EXIT_REFUSED = 1
+EXIT_FINDINGS = 2
+EXIT_UNAVAILABLE = 3
+EXIT_NOT_IN_FORCE = 4
+
+
+class Target(NamedTuple):
+    """Where the commands find the log and the entries, and how they print."""
+
+    log_url: str | None
+    entry_urls: tuple[str, ...]
+    as_json: bool
+
+
+class FileError(click.ClickException):
+    """The file cannot be read."""
+
+    exit_code = EXIT_FINDINGS
+
+
+class UnavailableError(click.ClickException):
+    """Neither the log nor an entry gave what the command needs."""
+
+    exit_code = EXIT_UNAVAILABLE
+
+
+class Connection:
+    """The log and the entries during one command."""
+
+    def __init__(self, session: aiohttp.ClientSession, target: Target) -> None:
+        self._target = target
+        self._deployment = configuration.Deployment(session, list(target.entry_urls))
+        self._log: configuration.ConfigLog | None = None
+        if target.log_url is not None:
+            self._log = configuration.ConfigLog(platform.HttpLogService(session, target.log_url))
+
+    @property
+    def deployment(self) -> configuration.Deployment:
+        """The entries."""
+        if not self._target.entry_urls:
+            raise click.UsageError("--entry URL is needed")
+        return self._deployment
+
+    @property
+    def log(self) -> configuration.ConfigLog:
+        """The log."""
+        if self._log is None:
+            raise click.UsageError("--log-url URL is needed")
+        return self._log
+
+    async def read_state(self) -> configuration.ConfigState:
+        """Return the state from the log, or from an entry if the log does not give it."""
+        if self._log is None and not self._target.entry_urls:
+            raise click.UsageError("--log-url URL or --entry URL is needed")
+        failure = "no entry has a configuration"
+        if self._log is not None:
+            try:
+                await self._catch_up(self._log)
+                return self._log.state
+            except exceptions.LogServiceError as error:
+                failure = str(error)
+        state = configuration.ConfigState()
+        document = await self._deployment.document()
+        if document is None:
+            raise UnavailableError(failure)
+        state.adopt(document)
+        return state
+
+    async def catch_up(self) -> configuration.ConfigState:
+        """Return the state from the log, which must answer."""
+        try:
+            await self._catch_up(self.log)
+        except exceptions.LogServiceError as error:
+            raise UnavailableError(f"{error}; nothing was published") from error
+        return self.log.state
+
+    async def _catch_up(self, log: configuration.ConfigLog) -> None:
+        try:
+            await log.catch_up()
+        except exceptions.LogGapError:
+            document = await self._deployment.document()
+            if document is None or not log.state.adopt(document):
+                raise
+            await log.catch_up()
+
+
+@contextlib.asynccontextmanager
+async def _connect(target: Target) -> "abc.AsyncIterator[Connection]":
+    async with aiohttp.ClientSession() as session:
+        yield Connection(session, target)
+
+
+file_argument = click.argument("path", metavar="FILE", type=click.Path(path_type=pathlib.Path))
+timeout_option = click.option(
+    "--timeout", "timeout_s", type=click.FloatRange(min=0), default=30.0, show_default=True, help="Seconds to wait."
+)
+
+
+def _with_target(command: "abc.Callable[..., None]") -> "abc.Callable[..., None]":
+    @click.option("--log-url", envvar="CACTUSGAUGE_LOG_URL", help="URL of the platform's log.")
+    @click.option(
+        "--entry", "entry_urls", multiple=True, envvar="CACTUSGAUGE_ENTRIES", help="HTTP URL of an entry; repeatable."
+    )
+    @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+    @functools.wraps(command)
+    def call(log_url: str | None, entry_urls: tuple[str, ...], as_json: bool, **others: Any) -> None:
+        command(Target(log_url, entry_urls, as_json), **others)
+
+    return call
+
+
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
 
 @click.group()
 def config() -> None:
-    """Check, publish and show configuration."""
+    """Check, publish and show configuration.
+
+    Exit codes: 0 done; 1 refused, or differences found; 2 wrong usage or findings in the file; 3 the log or the entries
+    do not answer, so the outcome is unknown; 4 not in force at every entry in time.
+    """
+
+
+@config.command()
+@file_argument
+@_with_target
+def check(target: Target, path: pathlib.Path) -> None:
+    """Check FILE, on top of the published configuration if --log-url or --entry is given."""
+
+    async def run() -> configuration.Catalogue:
+        async with _connect(target) as connection:
+            return (await connection.read_state()).catalogue
+
+    is_offline = target.log_url is None and not target.entry_urls
+    published = configuration.Catalogue() if is_offline else asyncio.run(run())
+    _load(target, path, published)
+    _print(target, {"file": str(path), "findings": []}, [f"{path}: ok"])
+
+
+@config.command()
+@file_argument
+@_with_target
+def diff(target: Target, path: pathlib.Path) -> None:
+    """Show what FILE would change; exit with 1 if it would change anything."""
+
+    async def run() -> configuration.ConfigState:
+        async with _connect(target) as connection:
+            return await connection.read_state()
+
+    state = asyncio.run(run())
+    change = _load(target, path, state.catalogue).change(state, "diff", "diff")
+    rows = _differences(state, change) if change else []
+    lines = [f"{row['name']} (version {row['version']}): {row['path']}: {row['old']} -> {row['new']}" for row in rows]
+    _print(
+        target, {"version": state.version, "differences": rows}, lines or [f"no difference to version {state.version}"]
+    )
+    sys.exit(EXIT_REFUSED if rows else 0)
+
+
+@config.command()
+@file_argument
+@click.option("--author", default=_user_name, help="Name in the history; your user name by default.")
+@click.option("--base", "reviewed", type=int, help="Version that you looked at; later changes of a name refuse yours.")
+@click.option("--change-id", help="Id of an earlier attempt, to learn what became of it or to repeat it.")
+@timeout_option
+@_with_target
+def publish(
+    target: Target, path: pathlib.Path, author: str, reviewed: int | None, change_id: str | None, timeout_s: float
+) -> None:
+    """Publish FILE, wait for the verdict, and with --entry wait until it is in force at every entry."""
+    sys.exit(asyncio.run(_publish(target, path, author, reviewed, change_id, timeout_s)))
+
+
+async def _publish(
+    target: Target, path: pathlib.Path, author: str, reviewed: int | None, change_id: str | None, timeout_s: float
+) -> int:
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
+    async with _connect(target) as connection:
+        state = await connection.catch_up()
+        verdict = state.find_verdict(change_id) if change_id else None
+        if verdict is None:
+            file = _load(target, path, state.catalogue)
+            change = file.change(state, author, change_id or configuration.new_change_id(), reviewed)
+            if change is None:
+                _print(target, {"outcome": "unchanged", "version": state.version}, ["nothing to change"])
+                return 0
+            try:
+                verdict = await configuration.ConfigPublisher(connection.log).publish(change, timeout_s)
+            except exceptions.PublishError as error:
+                raise UnavailableError(str(error)) from error
+        if not verdict.is_accepted:
+            _report_refusal(target, state, verdict)
+            return EXIT_REFUSED
+        if not target.entry_urls:
+            entries = []
+        else:
+            entries = await connection.deployment.wait_in_force(verdict.offset, max(0.0, deadline - loop.time()))
+    accepted = f"version {verdict.offset} is accepted (change {verdict.id})"
+    document = {"outcome": "accepted", "version": verdict.offset, "change_id": verdict.id}
+    return _report_entries(target, document, accepted, entries, verdict.offset)
+
+
+@config.command()
+@click.option("--everywhere", is_flag=True, help="Show the version at every entry.")
+@_with_target
+def show(target: Target, everywhere: bool) -> None:
+    """Show the templates, the workspaces and the settings that result."""
+
+    async def run() -> tuple[configuration.ConfigState, list[configuration.EntryVersion]]:
+        async with _connect(target) as connection:
+            entries = await connection.deployment.entry_versions() if everywhere else []
+            return await connection.read_state(), entries
+
+    state, entries = asyncio.run(run())
+    configs = state.configuration.workspaces if state.configuration else {}
+    document: dict[str, Any] = {
+        "version": state.version,
+        "through": state.through,
+        "catalogue": state.catalogue.model_dump(mode="json"),
+        "settings": {name: each.model_dump(mode="json") for name, each in configs.items()},
+    }
+    lines = [f"version {state.version} (log read through offset {state.through})"]
+    for name, template in sorted(state.catalogue.templates.items()):
+        lines.append(f"template {name} (version {state.version_of(f'templates.{name}')}): {template.model_dump_json()}")
+    for workspace, each in sorted(configs.items()):
+        version = state.version_of(f"workspaces.{workspace}")
+        template_name = state.catalogue.workspaces[workspace].template
+        lines.append(f"workspace {workspace} (version {version}, template {template_name}):")
+        lines += [f"  {key}: {value}" for key, value in each.model_dump(mode="json", exclude={"name"}).items()]
+    if everywhere:
+        document["entries"] = [each._asdict() for each in entries]
+        lines += [_entry_line(each, state.version) for each in entries]
+    _print(target, document, lines)
+    sys.exit(EXIT_NOT_IN_FORCE if everywhere and not configuration.are_in_force(entries, state.version) else 0)
+
+
+@config.command()
+@click.option("--limit", type=click.IntRange(min=1), default=20, show_default=True, help="Number of changes to show.")
+@_with_target
+def history(target: Target, limit: int) -> None:
+    """Show the latest changes and what became of them, newest first."""
+
+    async def run() -> configuration.ConfigState:
+        async with _connect(target) as connection:
+            return await connection.read_state()
+
+    verdicts = asyncio.run(run()).verdicts[::-1][:limit]
+    lines = [
+        f"{each.offset}\t{each.outcome.value}\t{each.author}\t{each.id}\t{', '.join(each.names)}"
+        + (f"\t{each.reason}" if each.reason else "")
+        for each in verdicts
+    ]
+    _print(target, {"changes": [each.model_dump(mode="json") for each in verdicts]}, lines or ["no changes yet"])
+
+
+@config.command()
+@click.option("--version", type=int, help="Version to wait for; the latest on the log by default.")
+@timeout_option
+@_with_target
+def wait(target: Target, version: int | None, timeout_s: float) -> None:
+    """Wait until a version is in force at every entry."""
+
+    async def run() -> tuple[int, list[configuration.EntryVersion]]:
+        async with _connect(target) as connection:
+            wanted = version if version is not None else (await connection.read_state()).version
+            return wanted, await connection.deployment.wait_in_force(wanted, timeout_s)
+
+    wanted, entries = asyncio.run(run())
+    sys.exit(_report_entries(target, {"version": wanted}, f"version {wanted}", entries, wanted))
+
+
+def _load(target: Target, path: pathlib.Path, published: configuration.Catalogue) -> configuration.ConfigFile:
+    try:
+        file = configuration.ConfigFile(path)
+    except exceptions.SettingsError as error:
+        raise FileError(str(error)) from error
+    findings = file.findings(published)
+    if findings:
+        _report_findings(target, findings)
+        sys.exit(EXIT_FINDINGS)
+    return file
+
+
+def _report_findings(target: Target, findings: "list[settings.Finding]") -> None:
+    if target.as_json:
+        click.echo(json.dumps({"findings": [each._asdict() for each in findings]}))
+        return
+    for each in findings:
+        click.echo(str(each), err=True)
+
+
+def _report_refusal(target: Target, state: configuration.ConfigState, verdict: configuration.Verdict) -> None:
+    winners = [each for each in state.verdicts if each.offset in verdict.lost_to]
+    document = {
+        "outcome": verdict.outcome.value,
+        "change_id": verdict.id,
+        "reason": verdict.reason,
+        "lost_to": [each.model_dump(mode="json") for each in winners],
+    }
+    lost = "".join(f"; lost to version {each.offset} by {each.author} (change {each.id})" for each in winners)
+    if target.as_json:
+        click.echo(json.dumps(document))
+    else:
+        click.echo(f"refused as {verdict.outcome.value}: {verdict.reason}{lost}", err=True)
+
+
+def _report_entries(
+    target: Target, document: dict[str, Any], text: str, entries: list[configuration.EntryVersion], version: int
+) -> int:
+    in_force = configuration.are_in_force(entries, version)
+    document = {**document, "entries": [each._asdict() for each in entries], "in_force_everywhere": in_force}
+    _print(target, document, [text, *(_entry_line(each, version) for each in entries)])
+    return 0 if in_force or not target.entry_urls else EXIT_NOT_IN_FORCE
+
+
+def _entry_line(entry: configuration.EntryVersion, version: int) -> str:
+    if entry.version is None:
+        return f"{entry.url}: does not answer"
+    state = "in force" if entry.version >= version else "not in force"
+    return f"{entry.name} ({entry.url}): {state} (version {entry.version})"
+
+
+def _differences(state: configuration.ConfigState, change: configuration.ChangeRecord) -> list[dict[str, Any]]:
+    rows = []
+    old = {"templates": state.catalogue.templates, "workspaces": state.catalogue.workspaces}
+    new = {"templates": change.templates, "workspaces": change.workspaces}
+    for name in change.names:
+        kind, _, key = name.partition(".")
+        before, after = _flatten(old[kind].get(key)), _flatten(new[kind].get(key))  # type: ignore[attr-defined]
+        for path in sorted(before.keys() | after.keys()):
+            if before.get(path) != after.get(path):
+                values = {"old": before.get(path), "new": after.get(path)}
+                rows.append({"name": name, "version": state.version_of(name), "path": path, **values})
+    return rows
+
+
+def _flatten(model: configuration.Template | configuration.WorkspaceEntry | None) -> dict[str, Any]:
+    flat: dict[str, Any] = {}
+
+    def visit(path: str, value: Any) -> None:
+        if isinstance(value, dict):
+            for key, child in value.items():
+                visit(f"{path}.{key}" if path else key, child)
+        else:
+            flat[path] = value
+
+    visit("", model.model_dump(mode="json") if model else {})
+    return flat
+
+
+def _print(target: Target, document: dict[str, Any], lines: list[str]) -> None:
+    click.echo(json.dumps(document) if target.as_json else "\n".join(lines))
--- a/src/cactusgauge/entry/configuration_resource.py
+++ b/src/cactusgauge/entry/configuration_resource.py
@@ -2,16 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from cactusgauge import exceptions
+from cactusgauge import configuration, exceptions
 from cactusgauge.entry import caller_request
 
 if TYPE_CHECKING:
     import falcon.asgi
 
-    from cactusgauge import configuration
-
-CONFIGURATION_PATH = "/v1/configuration"
-
 
 class ConfigurationResource:
     """Gives the state to peers and operators."""
@@ -21,7 +17,7 @@
 
     def add_to(self, app: "falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]") -> None:
         """Add the route to an application."""
-        app.add_route(CONFIGURATION_PATH, self)
+        app.add_route(configuration.CONFIGURATION_PATH, self)
 
     async def on_get(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
         """Answer with the state document, or 503 while there is none."""
--- a/src/cactusgauge/entry/peer_configuration.py
+++ b/src/cactusgauge/entry/peer_configuration.py
@@ -6,7 +6,6 @@
 import pydantic
 
 from cactusgauge import configuration
-from cactusgauge.entry import configuration_resource
 
 if TYPE_CHECKING:
     from cactusgauge.entry import membership
@@ -31,7 +30,7 @@
         """Return a peer's state, or None if it gave none."""
         try:
             async with self._session.get(
-                f"{url}{configuration_resource.CONFIGURATION_PATH}", timeout=self._timeout, allow_redirects=False
+                f"{url}{configuration.CONFIGURATION_PATH}", timeout=self._timeout, allow_redirects=False
             ) as response:
                 if response.status != 200:
                     return None
--- /dev/null
+++ b/tests/unit/configuration/test_agent_configuration.py
@@ -0,0 +1,49 @@
+"""The part of the configuration that reaches agents."""
+
+import aiohttp
+import pytest
+
+from cactusgauge import configuration, ids, observability, wire
+from cactusgauge.agent import backend_server_lease, slot_gate, start_controller, start_log, task_runner
+from tests.unit.configuration import builders
+
+pytestmark = pytest.mark.looptime
+
+
+def test_highest_version_over_all_links_stays() -> None:
+    """Guards against an agent that follows an entry that is behind."""
+    agent = configuration.AgentConfiguration(max_slots=8)
+    assert not agent.is_known
+    assert agent.slots == 0
+    assert [agent.take(*each) for each in ((5, 4), (3, 8), (5, 2), (6, 99))] == [True, False, False, True]
+    assert (agent.version, agent.slots) == (6, 8)
+
+
+async def test_agent_serves_nothing_before_its_first_configuration() -> None:
+    """Guards against starts under default limits, and against a limit that is not enforced at once."""
+    gate = slot_gate.SlotGate(8)
+    lease = backend_server_lease.BackendServerLease()
+    counters, events = observability.Counters(), observability.EventRing("test")
+    async with aiohttp.ClientSession() as session:
+        runner = task_runner.TaskRunner(session, lease)
+        controller = start_controller.StartController(
+            builders.CHEESE, lease, gate, start_log.StartLog(), runner, counters, events
+        )
+        lease.announce("server", "http://127.0.0.1:1", None)
+        entry = ids.EntryIncarnation("e")
+        assert not controller.serving
+        assert not gate.acquire(entry)
+        controller.configure(wire.AgentConfig(7, 2))
+        controller.configure(wire.AgentConfig(6, 8))
+        assert controller.serving
+        assert [gate.acquire(entry) for _ in range(3)] == [True, True, False]
+        controller.configure(wire.AgentConfig(8, 0))
+        assert not controller.serving
+        assert gate.credit(entry) == 0
+
+
+def test_data_centre_that_is_not_named_gets_no_slots() -> None:
+    """Guards against work in a data centre that the operators took out."""
+    config = configuration.WorkspaceConfig(name=builders.CHEESE, slots=4, data_centres=[ids.DataCentreName("serra")])
+    assert config.slots_in(ids.DataCentreName("serra")) == 4
+    assert config.slots_in(ids.DataCentreName("litoral")) == 0
--- /dev/null
+++ b/tests/unit/configuration/test_log_config_source.py
@@ -0,0 +1,253 @@
+"""A follower of the log through outages, trimming and restarts."""
+
+import asyncio
+import contextlib
+from collections import abc
+from typing import Any
+
+import pytest
+
+from cactusgauge import configuration, exceptions, observability
+from emulator import memory_log
+from tests.unit.configuration import builders
+
+pytestmark = pytest.mark.looptime
+
+BOUND_S = 3.0  # G8
+
+
+class FakePeers(configuration.PeerStates):
+    """One peer with a state, or none."""
+
+    def __init__(self, peer: configuration.ConfigSource | None = None) -> None:
+        self.peer = peer
+
+    def versions(self) -> dict[str, int]:
+        """Return the peer's version."""
+        document = self.peer.document() if self.peer else None
+        return {"http://peer": document.version if document else -1} if self.peer else {}
+
+    async def fetch(self, url: str) -> configuration.StateDocument | None:
+        """Return the peer's state."""
+        return self.peer.document() if self.peer else None
+
+
+class DefaultingSource(configuration.LogConfigSource):
+    """Naive: starts from defaults, and returns to them while the log is down."""
+
+    def __init__(self, log: memory_log.MemoryLog, seed: str) -> None:
+        super().__init__(log, seed)
+        self._faults = log.faults
+
+    @property
+    def current(self) -> configuration.Configuration | None:
+        """The defaults unless the log serves."""
+        default = configuration.WorkspaceConfig(name=builders.CHEESE)
+        if super().current is None or self._faults.unavailable:
+            return configuration.Configuration(0, {builders.CHEESE: default})
+        return super().current
+
+
+@contextlib.asynccontextmanager
+async def following(
+    source: configuration.ConfigSource, peers: configuration.PeerStates | None = None
+) -> abc.AsyncIterator[list[int]]:
+    """Run a source; give the list of the versions that it put in force."""
+    in_force: list[int] = []
+
+    def note() -> None:
+        assert source.current is not None
+        in_force.append(source.current.version)
+
+    counters, events = observability.Counters(), observability.EventRing("test")
+    task = asyncio.create_task(source.follow(peers or configuration.NoPeers(), counters, events, note))
+    try:
+        yield in_force
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+@pytest.fixture
+def log() -> memory_log.MemoryLog:
+    """Give a log with a template at offset 0 and `cheese` with 4 slots at offset 1."""
+    created = memory_log.MemoryLog()
+    created.append_now(configuration.STREAM, builders.encode(builders.template_change()))
+    created.append_now(configuration.STREAM, builders.encode(builders.workspace_change(4, -1, 0, "w1")))
+    return created
+
+
+def change_slots(log: memory_log.MemoryLog, slots: int, base: int, change_id: str) -> int:
+    """Append a change of `cheese` made against the state at its base."""
+    return log.append_now(
+        configuration.STREAM, builders.encode(builders.workspace_change(slots, base, base, change_id))
+    )
+
+
+async def test_accepted_change_is_in_force_within_the_bound(log: memory_log.MemoryLog) -> None:
+    """Guards against a follower that misses changes, or applies a losing one."""
+    source = configuration.LogConfigSource(log, "a")
+    async with following(source) as in_force:
+        await asyncio.sleep(1)
+        change_slots(log, 2, 1, "w2")
+        change_slots(log, 3, 1, "loser")
+        await asyncio.sleep(BOUND_S)
+        assert builders.slots(source.current) == 2
+        assert in_force == [1, 2]
+
+
+@pytest.mark.parametrize(
+    ("kind", "keeps"), [(configuration.LogConfigSource, True), (DefaultingSource, False)], ids=["followed", "naive"]
+)
+async def test_outage_keeps_the_version_and_a_start_in_it_gives_none(
+    log: memory_log.MemoryLog, kind: type[configuration.LogConfigSource], keeps: bool
+) -> None:
+    """Guards against a reversion while the log is down, and against serving from defaults after a start."""
+    source = kind(log, "a")
+    async with following(source):
+        await asyncio.sleep(1)
+        log.faults.unavailable = True
+        started = kind(log, "b")
+        async with following(started):
+            await asyncio.sleep(600)
+            assert (builders.slots(source.current) == 4) is keeps
+            assert (started.current is None) is keeps
+            log.faults.unavailable = False
+            await asyncio.sleep(BOUND_S)
+            assert builders.slots(started.current) == 4
+
+
+async def test_start_in_an_outage_takes_the_state_from_a_peer(log: memory_log.MemoryLog) -> None:
+    """Guards against an entry that stays down, or that disagrees about later changes, after such a start."""
+    peer = configuration.LogConfigSource(log, "a")
+    async with following(peer):
+        await asyncio.sleep(1)
+        log.faults.unavailable = True
+        source = configuration.LogConfigSource(log, "b")
+        async with following(source, FakePeers(peer)) as in_force:
+            await asyncio.sleep(BOUND_S)
+            assert in_force == [1]
+            log.faults.unavailable = False
+            change_slots(log, 2, 1, "w2")
+            log.append_now(configuration.STREAM, builders.encode(builders.workspace_change(9, -1, 0, "w1")))
+            await asyncio.sleep(BOUND_S)
+            assert in_force == [1, 2]
+            assert source.document() == peer.document()
+
+
+async def test_peer_behind_is_never_followed(log: memory_log.MemoryLog) -> None:
+    """Guards against a reversion to the state of a peer that was paused."""
+    paused = configuration.LogConfigSource(log, "a")
+    async with following(paused):
+        await asyncio.sleep(1)
+    change_slots(log, 2, 1, "w2")
+    source = configuration.LogConfigSource(log, "b")
+    async with following(source, FakePeers(paused)) as in_force:
+        await asyncio.sleep(1)
+        log.faults.unavailable = True
+        await asyncio.sleep(60)
+        assert in_force == [2]
+    state = configuration.ConfigState()
+    document = source.document()
+    behind = paused.document()
+    assert document is not None
+    assert behind is not None
+    assert state.adopt(document)
+    assert not state.adopt(behind)
+    assert state.version == 2
+
+
+async def test_slow_log_is_followed_and_peers_fill_the_gap(log: memory_log.MemoryLog) -> None:
+    """Guards against a follower that waits for a slow log although a peer is ahead, or gives up on a slow log."""
+    peer = configuration.LogConfigSource(log, "a")
+    async with following(peer):
+        source, alone = configuration.LogConfigSource(log, "b"), configuration.LogConfigSource(log, "c")
+        async with following(source, FakePeers(peer)), following(alone):
+            await asyncio.sleep(1)
+            change_slots(log, 2, 1, "w2")
+            await asyncio.sleep(0.6)
+            log.faults.delay_s = 8.0
+            change_slots(log, 3, 2, "w3")
+            await asyncio.sleep(20)
+            assert builders.slots(alone.current) == 3
+            assert builders.slots(source.current) == 3
+
+
+async def test_trimmed_log_without_a_snapshot_needs_a_peer(log: memory_log.MemoryLog) -> None:
+    """Guards against a start from the retained records alone."""
+    peer = configuration.LogConfigSource(log, "a")
+    async with following(peer):
+        await asyncio.sleep(1)
+        change_slots(log, 2, 1, "w2")
+        await asyncio.sleep(1)
+        log.trim(configuration.STREAM, 2)
+        source = configuration.LogConfigSource(log, "b")
+        peers = FakePeers()
+        async with following(source, peers):
+            await asyncio.sleep(60)
+            assert source.current is None
+            peers.peer = peer
+            await asyncio.sleep(BOUND_S)
+            assert builders.slots(source.current) == 2
+
+
+async def read_after_trim(log: memory_log.MemoryLog, rule: configuration.SnapshotRule) -> int | None:
+    """Return the slots that a new reader of a log finds."""
+    reader = configuration.ConfigLog(log, rule=rule)
+    try:
+        await reader.catch_up()
+    except exceptions.LogGapError:
+        return None
+    return builders.slots(reader.state.configuration)
+
+
+async def test_snapshot_written_while_a_change_is_appended(log: memory_log.MemoryLog) -> None:
+    """Guards against losing a change that stands between a snapshot and the offset through which it holds."""
+    writer = configuration.ConfigLog(log)
+    await writer.catch_up()
+    log.faults.delay_s = 1.0
+    snapshot = asyncio.create_task(writer.append_snapshot())
+    await asyncio.sleep(0.5)
+    change_slots(log, 2, 1, "w2")
+    assert await snapshot == 3
+    log.faults.delay_s = 0
+    naive = NaiveSnapshotRule()
+    log.trim(configuration.STREAM, 2)
+    assert await read_after_trim(log, configuration.ThroughOffsetRule()) == 2
+    assert await read_after_trim(log, naive) == 4  # the naive rule skips the change at offset 2
+    log.trim(configuration.STREAM, 3)
+    assert await read_after_trim(log, configuration.ThroughOffsetRule()) is None
+    assert await read_after_trim(log, naive) == 4
+
+
+class NaiveSnapshotRule(configuration.SnapshotRule):
+    """Ignores the through offset."""
+
+    def usable(
+        self, snapshot: configuration.StateDocument, offset: int, first_offset: int
+    ) -> configuration.StateDocument:
+        """Use every snapshot as of its own offset."""
+        return snapshot.model_copy(update={"through": offset})
+
+
+async def test_writers_of_snapshots_are_bounded_and_harmless(log: memory_log.MemoryLog) -> None:
+    """Guards against entries that fill the log with snapshots, and a log that outlives its last one."""
+    sources = [configuration.LogConfigSource(log, str(number)) for number in range(5)]
+    async with contextlib.AsyncExitStack() as stack:
+        for source in sources:
+            await stack.enter_async_context(following(source))
+        await asyncio.sleep(3600)
+        end = (await log.read(configuration.STREAM, 0, 1)).end_offset
+        # Ten minutes, the jitter and a poll pass between two snapshots at most, and all writers may miss each other.
+        assert 3600 // (600 + 10 + 1) <= end - 2 <= 6 * len(sources)
+        log.trim(configuration.STREAM, 2)
+        assert await read_after_trim(log, configuration.ThroughOffsetRule()) == 4
+        base = 1
+        for number in range(120):
+            base = change_slots(log, 5 + number, base, f"w{number + 2}")
+        await asyncio.sleep(30)
+        log.trim(configuration.STREAM, base)
+        assert await read_after_trim(log, configuration.ThroughOffsetRule()) == 124
+        documents: list[Any] = [source.document() for source in sources]
+        assert all(document == documents[0] for document in documents)
--- /dev/null
+++ b/tests/unit/platform/test_log_service.py
@@ -0,0 +1,105 @@
+"""The contract of the log service, for the log in memory and for the HTTP client with the stand-in process."""
+
+import asyncio
+import contextlib
+from collections import abc
+
+import aiohttp
+import falcon.asgi
+import pytest
+
+from cactusgauge import exceptions, http_server, platform
+from emulator import cluster, memory_log, platform_log
+
+STREAM = "stream"
+
+
+class Setup:
+    """A log service and the streams behind it."""
+
+    def __init__(self, service: platform.LogService, streams: memory_log.MemoryLog) -> None:
+        self.service = service
+        self.streams = streams
+
+
+@contextlib.asynccontextmanager
+async def over_http(streams: memory_log.MemoryLog) -> abc.AsyncIterator[platform.LogService]:
+    """Serve streams over HTTP and give a client."""
+    app = falcon.asgi.App()
+    platform_log.PlatformLog(streams).add_to(app)
+    port = cluster.free_port()
+    server = http_server.HttpServer(app, cluster.HOST, port)
+    serving = asyncio.create_task(server.run_until_stopped())
+    while not server.started:
+        await asyncio.sleep(0.01)
+    async with aiohttp.ClientSession() as session:
+        yield platform.HttpLogService(session, f"http://{cluster.HOST}:{port}")
+    server.stop()
+    await serving
+
+
+@pytest.fixture(params=["memory", "http"])
+async def setup(request: pytest.FixtureRequest) -> abc.AsyncIterator[Setup]:
+    """Give both implementations."""
+    streams = memory_log.MemoryLog()
+    if request.param == "memory":
+        yield Setup(streams, streams)
+        return
+    async with over_http(streams) as service:
+        yield Setup(service, streams)
+
+
+async def test_offsets_are_consecutive_and_reads_are_limited(setup: Setup) -> None:
+    """Guards against records that are skipped, repeated or altered."""
+    records = [bytes([number, 255]) for number in range(5)]
+    assert [await setup.service.append(STREAM, data) for data in records] == [0, 1, 2, 3, 4]
+    page = await setup.service.read(STREAM, 1, 2)
+    assert page == platform.LogPage([platform.LogRecord(1, records[1]), platform.LogRecord(2, records[2])], 0, 5)
+    assert await setup.service.read(STREAM, 5, 2) == platform.LogPage([], 0, 5)
+    assert await setup.service.read("other", 0, 2) == platform.LogPage([], 0, 0)
+
+
+async def test_trimmed_read_shows_the_first_offset(setup: Setup) -> None:
+    """Guards against a gap that the reader cannot see."""
+    for number in range(4):
+        await setup.service.append(STREAM, bytes([number]))
+    setup.streams.trim(STREAM, 3)
+    assert await setup.service.read(STREAM, 1, 9) == platform.LogPage([platform.LogRecord(3, bytes([3]))], 3, 4)
+
+
+async def test_faults_are_errors_that_leave_the_outcome_open(setup: Setup) -> None:
+    """Guards against a lost reply that passes for an append that did not take effect, and against silent faults."""
+    setup.streams.faults.lose_replies = 1
+    with pytest.raises(exceptions.LogServiceError):
+        await setup.service.append(STREAM, b"a")
+    assert (await setup.service.read(STREAM, 0, 9)).end_offset == 1
+    setup.streams.faults.appends_per_s = 0.001
+    await setup.service.append(STREAM, b"b")
+    with pytest.raises(exceptions.LogServiceError):
+        await setup.service.append(STREAM, b"c")
+    assert (await setup.service.read(STREAM, 0, 9)).end_offset == 2
+    setup.streams.faults = memory_log.LogFaults(unavailable=True)
+    with pytest.raises(exceptions.LogServiceError):
+        await setup.service.read(STREAM, 0, 9)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"first": 0, "end": 1, "records": [{"offset": 0, "data": "%"}]}'])
+async def test_malformed_reply_is_an_error(body: bytes) -> None:
+    """Guards against a client that fails with an error that its callers do not expect."""
+
+    class Garbled:
+        async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response, stream: str) -> None:
+            response.data = body
+
+    app = falcon.asgi.App()
+    app.add_route("/v1/streams/{stream}/records", Garbled())
+    port = cluster.free_port()
+    server = http_server.HttpServer(app, cluster.HOST, port)
+    serving = asyncio.create_task(server.run_until_stopped())
+    while not server.started:
+        await asyncio.sleep(0.01)
+    async with aiohttp.ClientSession() as session:
+        with pytest.raises(exceptions.LogServiceError):
+            await platform.HttpLogService(session, f"http://{cluster.HOST}:{port}").read(STREAM, 0, 9)
+    server.stop()
+    await serving
