--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -10,7 +10,7 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 # The final states of `jobs.TaskState`, as only ended tasks are reported.
 FinalState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
@@ -123,6 +123,13 @@
     entries: list[EntryInfo]
 
 
+class AgentConfig(NamedTuple):
+    """The part of the configuration that an agent needs; a version not above the agent's is ignored."""
+
+    version: int
+    slots: int
+
+
 class Seal(NamedTuple):
     """Asks an agent to start nothing more of a session and to list what it holds of one job."""
 
@@ -203,6 +210,7 @@
     | PeerBeat
     | HandOver
     | HandOverDone
+    | AgentConfig
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -220,4 +228,5 @@
     PeerBeat,
     HandOver,
     HandOverDone,
+    AgentConfig,
 )
