Add the job commands and their HTTP client

A request without a reply is repeated for the same session and number; a job moves to a new session only when the refusal proves that it cannot run under its first number. Session files keep numbers on disk before their use.

--- /dev/null
+++ b/src/cactusgauge/client/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP client of entries: jobs of callers and the state of processes."""
+
+from cactusgauge.client.entry_client import EntryClient, EntryReply
+from cactusgauge.client.job_client import JobClient, JobRef, JobResult, Outcome
+from cactusgauge.client.session_file import SessionFile
+
+__all__ = ["EntryClient", "EntryReply", "JobClient", "JobRef", "JobResult", "Outcome", "SessionFile"]
--- /dev/null
+++ b/src/cactusgauge/client/entry_client.py
@@ -0,0 +1,91 @@
+"""Single HTTP requests to entries and agents."""
+
+import json
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+
+CONNECT_TIMEOUT_S = 1.0
+REPLY_MARGIN_S = 5.0  # beyond the requested wait; covers forwarding to the owner and sealing for a recovery
+DOCUMENT_TIMEOUT_S = 2.0
+NO_CONNECTION = "no_connection"  # code of the reply made here when nothing could be sent
+
+
+class EntryReply(NamedTuple):
+    """A reply with a JSON object; `retry_after_s` is the process's hint for a repetition."""
+
+    url: str
+    status: int
+    document: dict[str, Any]
+    retry_after_s: float | None = None
+
+    @property
+    def code(self) -> str:
+        """Code of a refusal, empty in other replies."""
+        return str(self.document.get("code", ""))
+
+    @property
+    def ran(self) -> str:
+        """What a refusal says about execution: `nothing` or `unknown`."""
+        return str(self.document.get("ran", "unknown"))
+
+    @property
+    def message(self) -> str:
+        """Explanation of a refusal on one line."""
+        return " ".join(str(self.document.get("message", "")).split()) or f"HTTP status {self.status}"
+
+
+class EntryClient:
+    """Sends requests, each once; a reply without a JSON object of the interface counts as none.
+
+    Connections are not reused: aiohttp repeats an idempotent request whose reused connection was closed, and a refused
+    connection would then no longer prove that nothing was sent.
+    """
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self._session.close()
+
+    async def request(self, method: str, url: str, body: bytes = b"", wait_s: float | None = None) -> EntryReply | None:
+        """Return the reply, or None if none arrived; `wait_s` is how long the entry may wait for the answer.
+
+        If no connection could be opened, the reply has status 0 and the code NO_CONNECTION.
+        """
+        params = {} if wait_s is None else {"wait": f"{wait_s:.3f}"}
+        timeout = aiohttp.ClientTimeout(total=(wait_s or 0) + REPLY_MARGIN_S, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, data=body or None, params=params, timeout=timeout, allow_redirects=False
+            ) as response:
+                document = json.loads(await response.read())
+                retry_after_s = self._seconds(response.headers.get("Retry-After"))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            message = f"cannot connect to {url.partition('/v1/')[0]}"
+            return EntryReply(url, 0, {"code": NO_CONNECTION, "message": message, "ran": "nothing"})
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+        # A load balancer or an unhandled fault may answer with something else than the interface's documents.
+        is_ours = isinstance(document, dict) and (response.status < 300 or "ran" in document)
+        return EntryReply(url, response.status, document, retry_after_s) if is_ours else None
+
+    async def get_document(self, url: str) -> dict[str, Any] | None:
+        """Return the JSON object at a URL, or None if the process does not answer with one."""
+        timeout = aiohttp.ClientTimeout(total=DOCUMENT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(url, timeout=timeout, allow_redirects=False) as response:
+                document = json.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+        return document if isinstance(document, dict) and response.status == 200 else None
+
+    @staticmethod
+    def _seconds(text: str | None) -> float | None:
+        try:
+            return float(text) if text else None
+        except ValueError:
+            return None
--- /dev/null
+++ b/src/cactusgauge/client/session_file.py
@@ -0,0 +1,89 @@
+"""A caller's session kept in a file between commands."""
+
+import contextlib
+import fcntl
+import os
+import pathlib
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from cactusgauge import exceptions, ids
+
+if TYPE_CHECKING:
+    from collections import abc
+
+FIRST_NUMBER = 1
+
+
+class SessionRecord(pydantic.BaseModel):
+    """Content of the file; `last_number` is the highest number that was ever given to a job."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    workspace: str
+    session: ids.SessionId
+    last_number: int = pydantic.Field(default=FIRST_NUMBER - 1, ge=FIRST_NUMBER - 1)
+
+
+class SessionFile:
+    """Gives out job numbers; a number is on disk before it is used, so that no number names two jobs."""
+
+    def __init__(self, path: pathlib.Path, workspace: str) -> None:
+        self._path = path
+        self._workspace = workspace
+
+    def read(self) -> SessionRecord | None:
+        """Return the record, or None if there is none yet; raise `SettingsError` if the file is not usable."""
+        with self._locked() as descriptor:
+            return self._load(descriptor)
+
+    def take_number(self) -> SessionRecord | None:
+        """Raise the last number by one and return the record, or None if there is no session yet."""
+        with self._locked() as descriptor:
+            record = self._load(descriptor)
+            if record is None:
+                return None
+            taken = record.model_copy(update={"last_number": record.last_number + 1})
+            self._store(descriptor, taken)
+            return taken
+
+    def replace(self, session: ids.SessionId) -> SessionRecord:
+        """Start a new session whose first number is taken, and return the record."""
+        with self._locked() as descriptor:
+            record = SessionRecord(workspace=self._workspace, session=session, last_number=FIRST_NUMBER)
+            self._store(descriptor, record)
+            return record
+
+    @contextlib.contextmanager
+    def _locked(self) -> "abc.Iterator[int]":
+        try:
+            descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise exceptions.SettingsError(f"session file {self._path}: {error.strerror}") from error
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX)
+            yield descriptor
+        finally:
+            os.close(descriptor)
+
+    def _load(self, descriptor: int) -> SessionRecord | None:
+        content = os.pread(descriptor, os.fstat(descriptor).st_size, 0)
+        if not content:
+            return None
+        try:
+            record = SessionRecord.model_validate_json(content)
+        except pydantic.ValidationError as error:
+            raise exceptions.SettingsError(f"session file {self._path}: is not a session file") from error
+        if record.workspace != self._workspace:
+            raise exceptions.SettingsError(
+                f"session file {self._path}: belongs to workspace {record.workspace!r}, not {self._workspace!r}"
+            )
+        return record
+
+    @staticmethod
+    def _store(descriptor: int, record: SessionRecord) -> None:
+        content = record.model_dump_json().encode()
+        os.pwrite(descriptor, content, 0)
+        os.ftruncate(descriptor, len(content))
+        os.fsync(descriptor)
--- /dev/null
+++ b/src/cactusgauge/console/exit_codes.py
@@ -0,0 +1,18 @@
+"""Exit codes of `cactusgauge`; documented in docs/operations.md and stable across releases."""
+
+from cactusgauge import client
+
+COMPLETE = 0
+FAILED = 1
+USAGE = 2  # as click has it
+REFUSED = 3
+UNKNOWN = 4
+RUNNING = 5
+
+OF_OUTCOME = {
+    client.Outcome.COMPLETE: COMPLETE,
+    client.Outcome.FAILED: FAILED,
+    client.Outcome.REFUSED: REFUSED,
+    client.Outcome.UNKNOWN: UNKNOWN,
+    client.Outcome.RUNNING: RUNNING,
+}
--- /dev/null
+++ b/tests/unit/client/test_job_client.py
@@ -0,0 +1,116 @@
+import asyncio
+from typing import Any
+
+import pytest
+
+from cactusgauge import client, ids
+
+FIRST, SECOND, NEW = "http://first", "http://second", "new-1"
+ANSWER = {"state": "complete", "tasks": [{"index": 0, "state": "completed"}]}
+RUNNING = {"state": "running", "open_tasks": 1}
+
+
+def refusal(code: str, ran: str = "nothing") -> dict[str, Any]:
+    return {"code": code, "message": "m", "ran": ran}
+
+
+class ScriptedClient(client.EntryClient):
+    """Gives prepared replies and notes the requests."""
+
+    def __init__(self, *replies: tuple[int, dict[str, Any]] | None) -> None:
+        self._replies = list(replies)
+        self.requests: list[tuple[str, str]] = []
+
+    async def request(
+        self, method: str, url: str, body: bytes = b"", wait_s: float | None = None
+    ) -> client.EntryReply | None:
+        """Return the next prepared reply."""
+        self.requests.append((method, url))
+        await asyncio.sleep(0)
+        reply = self._replies.pop(0)
+        return client.EntryReply(url, *reply) if reply is not None else None
+
+
+async def submit(scripted: ScriptedClient, fresh: bool = True, timeout_s: float = 2) -> tuple[client.JobResult, int]:
+    renewals = 0
+
+    async def renew() -> client.JobRef:
+        nonlocal renewals
+        renewals += 1
+        return client.JobRef(ids.SessionId(NEW), 1, fresh=True)
+
+    jobs = client.JobClient(scripted, [FIRST, SECOND], "cheese")
+    job = client.JobRef(ids.SessionId("old"), 7, fresh)
+    return await jobs.submit(job, b"{}", timeout_s, renew), renewals
+
+
+async def test_lost_reply_is_repeated_at_another_entry_for_the_same_session_and_number() -> None:
+    """Guards against a lost reply being answered by a second run under another number."""
+    scripted = ScriptedClient(None, (200, ANSWER))
+    result, renewals = await submit(scripted)
+    assert (result.outcome, renewals) == (client.Outcome.COMPLETE, 0)
+    path = "/v1/workspaces/cheese/sessions/old/jobs/7"
+    assert scripted.requests == [("PUT", FIRST + path), ("PUT", SECOND + path)]
+
+
+@pytest.mark.parametrize(
+    ("before", "code", "fresh", "renewed"),
+    [
+        ([], "draining", True, True),
+        ([None], "draining", True, True),  # the owner would have attached, had the lost request been accepted
+        ([None], "session_closed", False, True),
+        ([], "session_expired", True, True),
+        ([None], "session_expired", True, False),
+        ([], "session_expired", False, False),
+        ([], "job_expired", True, False),
+        ([(202, RUNNING)], "session_closed", True, False),
+        ([(202, RUNNING), None], "draining", True, False),
+    ],
+)
+async def test_new_session_only_for_a_job_that_provably_did_not_run(
+    before: list[Any], code: str, fresh: bool, renewed: bool
+) -> None:
+    """Guards against a job that may have run being run again in a new session."""
+    status = 503 if code == "draining" else 410
+    scripted = ScriptedClient(*before, (status, refusal(code)), (200, ANSWER))
+    result, renewals = await submit(scripted, fresh)
+    if renewed:
+        assert (result.outcome, result.job.session, renewals) == (client.Outcome.COMPLETE, NEW, 1)
+    else:
+        assert (result.outcome, renewals) == (client.Outcome.UNKNOWN, 0)
+
+
+@pytest.mark.parametrize(
+    ("replies", "fresh", "outcome"),
+    [
+        ([(503, refusal("overloaded"))], True, client.Outcome.REFUSED),
+        ([None], True, client.Outcome.UNKNOWN),
+        ([(504, refusal("owner_slow", "unknown"))], True, client.Outcome.UNKNOWN),
+        ([(0, refusal("no_connection"))], True, client.Outcome.REFUSED),
+        ([(0, refusal("no_connection"))], False, client.Outcome.UNKNOWN),
+        ([(409, refusal("job_conflict"))], False, client.Outcome.REFUSED),
+        ([(413, refusal("too_many_tasks"))], True, client.Outcome.REFUSED),
+        ([(413, refusal("too_many_tasks"))], False, client.Outcome.UNKNOWN),
+        ([(200, {**ANSWER, "state": "failed"})], True, client.Outcome.FAILED),
+        ([(200, {"state": "failed", "tasks": [{"state": "unknown"}]})], True, client.Outcome.UNKNOWN),
+        ([(202, RUNNING)], True, client.Outcome.RUNNING),
+    ],
+)
+async def test_outcome_says_no_more_than_is_proved(replies: list[Any], fresh: bool, outcome: client.Outcome) -> None:
+    """Guards against `nothing ran` being claimed after a request whose fate is open."""
+    result, renewals = await submit(ScriptedClient(*replies), fresh, timeout_s=0)
+    assert (result.outcome, renewals) == (outcome, 0)
+
+
+async def test_wait_moves_to_the_body_again_after_a_lost_reply() -> None:
+    """Guards against a recovery that does not know all tasks of the job because it got no body."""
+    scripted = ScriptedClient((202, RUNNING), None, (200, ANSWER))
+    result, _ = await submit(scripted)
+    assert [method for method, _ in scripted.requests] == ["PUT", "GET", "PUT"]
+    assert result.outcome is client.Outcome.COMPLETE
+
+
+async def test_session_is_opened_at_the_next_entry_while_one_drains() -> None:
+    """Guards against a draining entry keeping callers away from the others."""
+    scripted = ScriptedClient((503, refusal("draining")), (201, {"session": NEW}))
+    assert await client.JobClient(scripted, [FIRST, SECOND], "cheese").open_session(2) == NEW
