Report an unknown outcome when a recovery is refused

Cause: refusals in a recovery (no agent linked, no record, no configuration) are RequestErrors, whose default is that nothing ran. Ruled out: refusals by the owner or its successor, which hold the session and know its numbers; a job conflict, which is proved by an agent's digest. Before: ran is 'nothing' for PUT, GET and DELETE (the new tests fail). After: 'unknown'. Conclusion: only a process that holds the session may say 'nothing'.

--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -65,7 +65,14 @@
         if self._members.find_alive(ids.owner_of(session)) is not None:
             # A slow owner must not lose its session to a recovery.
             raise exceptions.OwnerSlowError("the owner of the session did not answer in time; ask again")
-        return await self._recover(request)
+        try:
+            return await self._recover(request)
+        except exceptions.JobConflictError:
+            raise
+        except exceptions.RequestError as error:
+            # The lost owner may have run the job; that nothing is known of it here proves nothing.
+            error.ran = exceptions.Ran.UNKNOWN
+            raise
 
     async def _serve(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         workspace, job_id = request.workspace, request.job_id
--- /dev/null
+++ b/tests/unit/entry/test_request_router.py
@@ -0,0 +1,73 @@
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cactusgauge import configuration, exceptions, ids, observability, wire
+from cactusgauge.entry import (
+    agent_links,
+    caller_request,
+    forwarder,
+    hand_over_store,
+    job_recovery,
+    job_service,
+    membership,
+    request_router,
+)
+
+if TYPE_CHECKING:
+    import aiohttp
+
+WORKSPACE = ids.WorkspaceName("cheese")
+BODY = json.dumps({"tasks": [{"payload": ""}, {"payload": ""}]}).encode()
+
+
+class Limits(configuration.ConfigSource):
+    """A configuration whose limit on tasks can be changed."""
+
+    max_tasks = 340
+
+    @property
+    def current(self) -> configuration.Configuration:
+        """The configuration in force."""
+        config = configuration.WorkspaceConfig(name=WORKSPACE, max_tasks_per_job=self.max_tasks)
+        return configuration.Configuration(0, {WORKSPACE: config})
+
+
+class Router(request_router.RequestRouter):
+    """An entry without agents and peers."""
+
+    def __init__(self, session: "aiohttp.ClientSession") -> None:
+        events, counters = observability.EventRing("entry"), observability.Counters()
+        self.limits = Limits()
+        self.own = ids.new_entry_incarnation()
+        info = wire.EntryInfo(
+            ids.EntryName("entry"), self.own, "", "", ids.DataCentreName("serra"), [WORKSPACE], 1, True
+        )
+        members = membership.Membership(info)
+        service = job_service.JobService(self.own, self.limits, counters, events)
+        recovery = job_recovery.JobRecovery(agent_links.AgentLinks(members, service, events), events)
+        store = hand_over_store.HandOverStore()
+        super().__init__(members, service, store, recovery, forwarder.Forwarder(session))
+
+    async def ask(self, method: caller_request.Method, session: str) -> caller_request.Reply:
+        """Send a request about job 1."""
+        job = ids.JobId(ids.SessionId(session), 1)
+        return await self.handle(
+            caller_request.CallerRequest(method, WORKSPACE, job, BODY, 0, caller_request.Hop.CALLER)
+        )
+
+
+@pytest.fixture
+def router() -> Router:
+    return Router(None)  # type: ignore[arg-type]  # without peers nothing is forwarded
+
+
+@pytest.mark.parametrize("method", list(caller_request.Method))
+async def test_refusal_for_a_lost_owner_does_not_claim_that_nothing_ran(
+    router: Router, method: caller_request.Method
+) -> None:
+    """Guards against a caller running a job again because an entry that knows nothing of it said `nothing`."""
+    with pytest.raises(exceptions.RequestError) as caught:
+        await router.ask(method, "lost-1")
+    assert caught.value.ran is exceptions.Ran.UNKNOWN
