Attach a resubmission even if the limits were lowered

Cause: the body was checked against the limits in force before the session was asked for the job, so the resubmission of an accepted job got 'too_many_tasks, nothing ran' while the job ran or had run. Ruled out: the digest, which is of the raw body and does not depend on limits. Before: the new test fails with TooManyTasksError for the accepted body. Conclusion: limits apply to acceptance, not to resubmission.

--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -101,6 +101,11 @@
         session.add(job)
         return job
 
+    def attach(self, workspace: ids.WorkspaceName, job_id: ids.JobId, body: bytes) -> jobs.Job | None:
+        """Return the job that was accepted with this body, or None if the number is free."""
+        session = self._sessions.get(job_id.session, workspace)
+        return session.attach(job_id.number, jobs.JobRequestParser.digest(body))
+
     def find(self, workspace: ids.WorkspaceName, job_id: ids.JobId) -> jobs.Job:
         """Return a job; raise `UnknownJobError` if the session holds none of that number."""
         session = self._sessions.get(job_id.session, workspace)
--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -78,7 +78,7 @@
         workspace, job_id = request.workspace, request.job_id
         match request.method:
             case caller_request.Method.SUBMIT:
-                job = self._service.submit(workspace, job_id, self._service.parse(workspace, request.body))
+                job = self._submit(workspace, job_id, request.body)
             case caller_request.Method.GET:
                 job = self._service.find(workspace, job_id)
             case caller_request.Method.CANCEL:
@@ -87,10 +87,21 @@
             return caller_request.Reply(200, job.answer().as_json())
         return self._running(job_id, job.open_count)
 
+    def _submit(self, workspace: ids.WorkspaceName, job_id: ids.JobId, body: bytes) -> jobs.Job:
+        try:
+            request = self._service.parse(workspace, body)
+        except exceptions.RequestError:
+            # The limits may have been lowered after this very body was accepted.
+            attached = self._service.attach(workspace, job_id, body)
+            if attached is None:
+                raise
+            return attached
+        return self._service.submit(workspace, job_id, request)
+
     def _serve_handed_over(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         digest = None
         if request.method is caller_request.Method.SUBMIT:
-            digest = self._service.parse(request.workspace, request.body).digest
+            digest = jobs.JobRequestParser.digest(request.body)
         return caller_request.Reply(200, self._hand_overs.find(request.job_id, digest).answer)
 
     async def _ask_owner(self, request: caller_request.CallerRequest) -> caller_request.Reply | None:
--- a/src/cactusgauge/jobs/job_request.py
+++ b/src/cactusgauge/jobs/job_request.py
@@ -56,7 +56,12 @@
             raise exceptions.RequestError(self._describe(error)) from error
         if len(parsed.tasks) > self._max_tasks:
             raise exceptions.TooManyTasksError(f"{len(parsed.tasks)} tasks; the limit is {self._max_tasks}")
-        return JobRequest(parsed.tasks, parsed.deadline_ms, xxhash.xxh3_128_digest(body))
+        return JobRequest(parsed.tasks, parsed.deadline_ms, self.digest(body))
+
+    @staticmethod
+    def digest(body: bytes) -> bytes:
+        """Return the digest that tells one body from another."""
+        return xxhash.xxh3_128_digest(body)
 
     @staticmethod
     def _describe(error: pydantic.ValidationError) -> str:
--- a/tests/unit/entry/test_request_router.py
+++ b/tests/unit/entry/test_request_router.py
@@ -71,3 +71,15 @@
     with pytest.raises(exceptions.RequestError) as caught:
         await router.ask(method, "lost-1")
     assert caught.value.ran is exceptions.Ran.UNKNOWN
+
+
+async def test_resubmission_after_lowered_limits_attaches_to_the_accepted_job(router: Router) -> None:
+    """Guards against `too_many_tasks, nothing ran` for a job that runs or has run."""
+    opened = json.loads((await router.open_session(WORKSPACE, caller_request.Hop.CALLER)).body)["session"]
+    first = await router.ask(caller_request.Method.SUBMIT, opened)
+    router.limits.max_tasks = 1
+    assert (await router.ask(caller_request.Method.SUBMIT, opened)) == first
+    fresh = json.loads((await router.open_session(WORKSPACE, caller_request.Hop.CALLER)).body)["session"]
+    with pytest.raises(exceptions.TooManyTasksError) as caught:
+        await router.ask(caller_request.Method.SUBMIT, fresh)
+    assert caught.value.ran is exceptions.Ran.NOTHING
