Add the status command

Given one entry it finds all entries and agents and says which do not answer. The agent's hello carries its HTTP URL (protocol 2); the status of an entry lists all peers known with their liveness, and each worker's URL.

--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -31,12 +31,13 @@
         workspace: "ids.WorkspaceName",
         data_centre: "ids.DataCentreName",
         slots: int,
+        http_url: str,
         directory: "entry_directory.EntryDirectory",
         controller: "start_controller.StartController",
         counters: "observability.Counters",
         events: "observability.EventRing",
     ) -> None:
-        self._hello = wire.AgentHello(wire.PROTOCOL_VERSION, name, incarnation, workspace, data_centre, slots)
+        self._hello = wire.AgentHello(wire.PROTOCOL_VERSION, name, incarnation, workspace, data_centre, slots, http_url)
         self._directory = directory
         self._controller = controller
         self._counters = counters
--- a/src/cactusgauge/client/__init__.py
+++ b/src/cactusgauge/client/__init__.py
@@ -2,6 +2,17 @@
 
 from cactusgauge.client.entry_client import EntryClient, EntryReply
 from cactusgauge.client.job_client import JobClient, JobRef, JobResult, Outcome
+from cactusgauge.client.process_directory import ProcessDirectory, ProcessState
 from cactusgauge.client.session_file import SessionFile
 
-__all__ = ["EntryClient", "EntryReply", "JobClient", "JobRef", "JobResult", "Outcome", "SessionFile"]
+__all__ = [
+    "EntryClient",
+    "EntryReply",
+    "JobClient",
+    "JobRef",
+    "JobResult",
+    "Outcome",
+    "ProcessDirectory",
+    "ProcessState",
+    "SessionFile",
+]
--- /dev/null
+++ b/src/cactusgauge/client/process_directory.py
@@ -0,0 +1,75 @@
+"""Finds all processes, starting from some entries."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from cactusgauge import operations_resource
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge.client import entry_client
+
+MAX_CONCURRENT = 32  # bounds the sockets of one command at 570 agents
+
+
+class ProcessState(NamedTuple):
+    """A process and its status document, None if it does not answer; `workspace` is empty for entries."""
+
+    role: str
+    name: str
+    url: str
+    workspace: str
+    document: dict[str, Any] | None
+
+
+class ProcessDirectory:
+    """Asks entries for the entries and agents that they know, and all of these for their status."""
+
+    def __init__(self, client: "entry_client.EntryClient") -> None:
+        self._client = client
+        self._places = asyncio.Semaphore(MAX_CONCURRENT)
+
+    async def discover(self, entries: "abc.Iterable[str]") -> list[ProcessState]:
+        """Return all processes found: entries first, each group by name."""
+        found = await self._find_entries(entries)
+        agents = await self._find_agents(found)
+        ordered = [sorted(group, key=lambda process: (process.name, process.url)) for group in (found, agents)]
+        return [process for group in ordered for process in group]
+
+    async def _find_entries(self, urls: "abc.Iterable[str]") -> list[ProcessState]:
+        names = {url: url for url in urls}
+        found: dict[str, ProcessState] = {}
+        while missing := names.keys() - found.keys():
+            for state in await self._ask("entry", [(names[url], url, "") for url in missing]):
+                found[state.url] = state
+                if state.document is None:
+                    continue
+                own = state.document["entry"]
+                found[state.url] = state._replace(name=own["name"])
+                for peer in state.document["peers"]:
+                    names.setdefault(peer["http_url"], peer["name"])
+        return self._drop_replaced(list(found.values()))
+
+    async def _find_agents(self, entries: list[ProcessState]) -> list[ProcessState]:
+        known: dict[str, tuple[str, str, str]] = {}
+        for entry in entries:
+            for workspace in entry.document["workspaces"] if entry.document else ():
+                for worker in workspace["workers"]:
+                    known[worker["http_url"]] = (worker["agent"], worker["http_url"], workspace["name"])
+        return self._drop_replaced(await self._ask("agent", known.values()))
+
+    async def _ask(self, role: str, processes: "abc.Iterable[tuple[str, str, str]]") -> list[ProcessState]:
+        async def ask(name: str, url: str, workspace: str) -> ProcessState:
+            async with self._places:
+                document = await self._client.get_document(f"{url}{operations_resource.STATUS_PATH}")
+            is_expected = document is not None and document.get("role") == role
+            return ProcessState(role, name, url, workspace, document if is_expected else None)
+
+        return list(await asyncio.gather(*(ask(*process) for process in processes)))
+
+    @staticmethod
+    def _drop_replaced(processes: list[ProcessState]) -> list[ProcessState]:
+        # An entry may still list the address that a process had before it was replaced.
+        answering = {process.name for process in processes if process.document is not None}
+        return [process for process in processes if process.document is not None or process.name not in answering]
--- a/src/cactusgauge/console/status_command.py
+++ b/src/cactusgauge/console/status_command.py
@@ -1,9 +1,102 @@
 """The `status` command."""
 
+import asyncio
+import json
+import sys
+from typing import Any
+
 import click
 
+from cactusgauge import client
+from cactusgauge.console import exit_codes, options, table
+
 
 @click.command()
-def status() -> None:
-    """Show entries, agents, backend servers and queues."""
-    raise click.ClickException("not available in this version")
+@options.entries
+@options.as_json
+def status(entries: tuple[str, ...], as_json: bool) -> None:
+    """Show entries, agents, backend servers and queues.
+
+    One entry is enough; it names the others. Exit code 0 means that every process known answers, 1 that some do not.
+    """
+    processes = asyncio.run(_discover(entries))
+    if as_json:
+        click.echo(json.dumps([process._asdict() for process in processes]))
+    else:
+        _print(processes)
+    sys.exit(exit_codes.COMPLETE if all(process.document for process in processes) else exit_codes.FAILED)
+
+
+async def _discover(entries: tuple[str, ...]) -> list[client.ProcessState]:
+    async with client.EntryClient() as http:
+        return await client.ProcessDirectory(http).discover(entries)
+
+
+def _print(processes: list[client.ProcessState]) -> None:
+    found = [process for process in processes if process.role == "entry"]
+    agents = [process for process in processes if process.role == "agent"]
+    headers: tuple[str, ...] = ("ENTRY", "URL", "DATA CENTRE", "STATE", "CONFIG", "SESSIONS", "PEERS ALIVE")
+    click.echo(table.format_table(headers, [_entry_row(entry) for entry in found]))
+    workspaces = [row for entry in found for row in _workspace_rows(entry)]
+    if workspaces:
+        headers = ("WORKSPACE", "ENTRY", "NEW SESSIONS AT", "OPEN JOBS", "QUEUED", "RUNNING", "WORKERS")
+        click.echo("\n" + table.format_table(headers, sorted(workspaces)))
+    if agents:
+        headers = ("AGENT", "URL", "WORKSPACE", "DATA CENTRE", "STATE", "SLOTS USED", "BACKEND SERVER", "LINKS")
+        click.echo("\n" + table.format_table(headers, [_agent_row(agent) for agent in agents]))
+    elif any(entry.document for entry in found):
+        click.echo("\nno agent is known to these entries; check the agents' seeds")
+    for process in processes:
+        if process.document is None:
+            name = "" if process.name == process.url else f" {process.name}"
+            click.echo(f"{process.role}{name} does not answer at {process.url}", err=True)
+
+
+def _state(document: dict[str, Any]) -> str:
+    if document["draining"]:
+        return "draining"
+    return "ready" if document["ready"] else "not ready"
+
+
+def _entry_row(entry: client.ProcessState) -> tuple[object, ...]:
+    if entry.document is None:
+        return entry.name, entry.url, "-", "no answer", "-", "-", "-"
+    document = entry.document
+    peers = document["peers"]
+    alive = f"{sum(peer['alive'] for peer in peers)} of {len(peers)}"
+    version = "-" if document["config_version"] is None else document["config_version"]
+    centre = document["entry"]["data_centre"]
+    return entry.name, entry.url, centre, _state(document), version, document["sessions"], alive
+
+
+def _workspace_rows(entry: client.ProcessState) -> list[tuple[object, ...]]:
+    return [
+        (
+            each["name"],
+            entry.name,
+            each["preferred_entry"] or "-",
+            each["open_jobs"],
+            each["queued"],
+            each["running"],
+            f"{sum(worker['available'] for worker in each['workers'])} of {len(each['workers'])} available",
+        )
+        for each in (entry.document["workspaces"] if entry.document else ())
+    ]
+
+
+def _agent_row(agent: client.ProcessState) -> tuple[object, ...]:
+    if agent.document is None:
+        return agent.name, agent.url, agent.workspace, "-", "no answer", "-", "-", "-"
+    document = agent.document
+    server = document["backend_server"]
+    state = _state(document) if server or document["draining"] else "no backend server"
+    return (
+        agent.name,
+        agent.url,
+        document["workspace"],
+        document["data_centre"],
+        state,
+        f"{document['running']} of {document['slots']}",
+        server["name"] if server else "-",
+        len(document["links"]),
+    )
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -32,6 +32,7 @@
         self._name = hello.name
         self._incarnation = hello.incarnation
         self._slots = hello.slots
+        self._http_url = hello.http_url
         self._data_centre = data_centre
         self._link: wire.Link | None = None
         self._credit = 0
@@ -60,6 +61,11 @@
         """Data centre of the worker."""
         return self._data_centre
 
+    @property
+    def http_url(self) -> str:
+        """URL of the agent's HTTP interface."""
+        return self._http_url
+
     @property
     def link(self) -> "wire.Link | None":
         """The current link, or None while there is none."""
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -112,10 +112,15 @@
             "role": "entry",
             "entry": self._members.own._asdict(),
             "ready": self.is_ready,
+            "draining": self._stopping,
             "config_version": current.version if current else None,
             "peers": [
-                {**info._asdict(), "config_version": self._members.config_version(info.name)}
-                for info in self._members.alive_peers
+                {
+                    **info._asdict(),
+                    "alive": self._members.is_alive(info.name),
+                    "config_version": self._members.config_version(info.name),
+                }
+                for info in self._members.known
             ],
             "workspaces": [
                 {
@@ -127,6 +132,9 @@
                     "workers": [
                         {
                             "agent": worker.name,
+                            "incarnation": worker.incarnation,
+                            "http_url": worker.http_url,
+                            "linked": worker.link is not None,
                             "data_centre": worker.data_centre,
                             "available": worker.is_available(now),
                             "credit": worker.credit,
--- a/src/cactusgauge/entry/membership.py
+++ b/src/cactusgauge/entry/membership.py
@@ -34,6 +34,10 @@
         """This entry and the others that are alive."""
         return [self._own, *self.alive_peers]
 
+    def is_alive(self, name: ids.EntryName) -> bool:
+        """Whether another entry was heard within SILENCE_S."""
+        return self._is_fresh(name)
+
     def set_serving(self, serving: bool) -> None:
         """Change whether this entry takes new sessions."""
         self._own = self._own._replace(serving=serving)
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -8,7 +8,7 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 class EntryInfo(NamedTuple):
@@ -51,7 +51,7 @@
 
 
 class AgentHello(NamedTuple):
-    """First message of an agent on a new link."""
+    """First message of an agent on a new link; `http_url` is where operators reach it."""
 
     protocol: int
     name: ids.AgentName
@@ -59,6 +59,7 @@
     workspace: ids.WorkspaceName
     data_centre: ids.DataCentreName
     slots: int
+    http_url: str
 
 
 class Welcome(NamedTuple):
