Add the timeline command

The events of all processes are merged by time corrected from the delays of messages in both directions, and never against event numbers and messages. Events of starts and ends carry the assign number, which identifies a message. GET /v1/events answers at most 1000 events at once, as encoding a full ring would hold up dispatch.

--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -82,9 +82,9 @@
         for start in assign.starts:
             reason = self._refusal(ledger, start)
             if reason is jobs.Reason.NONE:
-                self._begin(ledger, start)
+                self._begin(ledger, start, assign.number)
             else:
-                self._refuse(ledger, start, reason)
+                self._refuse(ledger, start, assign.number, reason)
         self._schedule_flush()
 
     def set_demand(self, ledger: entry_ledger.EntryLedger, demand: int) -> None:
@@ -136,21 +136,24 @@
             return jobs.Reason.NO_SLOT
         return jobs.Reason.NONE
 
-    def _refuse(self, ledger: entry_ledger.EntryLedger, start: wire.Start, reason: jobs.Reason) -> None:
+    def _refuse(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int, reason: jobs.Reason) -> None:
         self._counters.add("starts_refused", self._workspace, reason.value)
+        job = str(ids.JobId(start.session, start.number))
+        self._events.record("start_refused", job=job, task=start.task, assign=assign, reason=reason.value)
         ledger.add_outcome(
             wire.Outcome(start.session, start.number, start.task, jobs.TaskState.NOT_RUN.value, reason.value, b"", 0)
         )
 
-    def _begin(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+    def _begin(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int) -> None:
         self._starts.add_start(start)
-        task = asyncio.create_task(self._run(ledger, start))
+        task = asyncio.create_task(self._run(ledger, start, assign))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _run(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+    async def _run(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int) -> None:
         task_id = ids.TaskId(start.session, start.number, start.task)
-        self._events.record("task_started", job=str(task_id.job), task=start.task)
+        job = str(task_id.job)
+        self._events.record("task_started", job=job, task=start.task, assign=assign)
         try:
             outcome = await self._runner.run(start)
         except Exception:  # a fault of ours must neither lose the slot nor leave the task without an outcome
@@ -166,7 +169,9 @@
             self._counters.add("tasks_started", self._workspace, "")
             self._counters.add("slot_seconds", self._workspace, "", outcome.run_ms / 1000)
         self._counters.add(f"tasks_{outcome.state}", self._workspace, outcome.reason)
-        self._events.record("task_ended", job=str(task_id.job), task=start.task, state=outcome.state)
+        self._events.record(
+            "task_ended", job=job, task=start.task, assign=assign, state=outcome.state, reason=outcome.reason
+        )
         ledger.add_outcome(outcome)
         self._schedule_flush()
 
--- a/src/cactusgauge/client/entry_client.py
+++ b/src/cactusgauge/client/entry_client.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from cactusgauge import operations_resource
+
 CONNECT_TIMEOUT_S = 1.0
 REPLY_MARGIN_S = 5.0  # beyond the requested wait; covers forwarding to the owner and sealing for a recovery
 DOCUMENT_TIMEOUT_S = 2.0
@@ -83,6 +85,14 @@
             return None
         return document if isinstance(document, dict) and response.status == 200 else None
 
+    async def get_lines(self, url: str, params: dict[str, str]) -> tuple[str, list[bytes]]:
+        """Return the ring's id and the lines of an events document; raise what aiohttp raises."""
+        timeout = aiohttp.ClientTimeout(total=DOCUMENT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        async with self._session.get(url, params=params, timeout=timeout, allow_redirects=False) as response:
+            response.raise_for_status()
+            ring = response.headers.get(operations_resource.RING_HEADER, "")
+            return ring, (await response.read()).splitlines()
+
     @staticmethod
     def _seconds(text: str | None) -> float | None:
         try:
--- a/src/cactusgauge/console/application.py
+++ b/src/cactusgauge/console/application.py
@@ -22,7 +22,7 @@
     job_commands.job,
     config_commands.config,
     status_command.status,
-    timeline_command.timeline,
+    timeline_command.show_timeline,
     load_command.load,
     account_commands.usage,
     account_commands.audit,
--- a/src/cactusgauge/console/timeline_command.py
+++ b/src/cactusgauge/console/timeline_command.py
@@ -1,9 +1,150 @@
 """The `timeline` command."""
 
+import asyncio
+import datetime
+import math
+import re
+import sys
+import time
+from typing import TYPE_CHECKING
+
 import click
 
+from cactusgauge import client, timeline
+from cactusgauge.console import exit_codes, options
+from cactusgauge.timeline import event_filter
+
+if TYPE_CHECKING:
+    from collections import abc
+
+POLL_S = 0.5
+HOLD_S = 1.2  # two polls and a reply: by then the other end of every message was read as well
+REDISCOVER_S = 5.0
+UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+def _parse_time(context: click.Context, parameter: click.Parameter, text: str | None) -> float | None:
+    if text is None:
+        return None
+    relative = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", text)
+    if relative:
+        return time.time() - float(relative[1]) * UNIT_SECONDS[relative[2]]
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError as error:
+        message = f"{text!r}: a time such as 2026-12-04T04:10:00 (UTC) or an age such as 90s, 10m, 2h is expected"
+        raise click.BadParameter(message) from error
+    return moment.replace(tzinfo=moment.tzinfo or datetime.UTC).timestamp()
+
+
+@click.command(name="timeline")
+@options.entries
+@click.option("--job", default="", metavar="SESSION[/NUMBER]", help="Only this job, or all jobs of this session.")
+@click.option("--worker", default="", metavar="AGENT", help="Only events of and about this worker.")
+@click.option("--workspace", default="", metavar="NAME", help="Only this workspace.")
+@click.option("--since", callback=_parse_time, metavar="TIME", help="Only from this time (ISO 8601) or age (10m) on.")
+@click.option("--until", callback=_parse_time, metavar="TIME", help="Only up to this time or age.")
+@click.option("--follow", is_flag=True, help="Go on with new events until interrupted.")
+@click.option(
+    "--format",
+    "form",
+    type=click.Choice(["text", "json", "html"]),
+    default="text",
+    show_default=True,
+    help="Lines of text, JSON lines, or one HTML page.",
+)
+def show_timeline(
+    entries: tuple[str, ...],
+    job: str,
+    worker: str,
+    workspace: str,
+    since: float | None,
+    until: float | None,
+    follow: bool,
+    form: str,
+) -> None:
+    """Show the events of all processes in one order.
+
+    Times are corrected for differences between clocks, and no message is shown as received before it was sent. Exit
+    code 0 means that every process answered, 1 that the events of some are missing.
+    """
+    if follow and form == "html":
+        raise click.UsageError("--follow prints text or json, not html")
+    criteria = event_filter.Criteria(
+        job, worker, workspace, -math.inf if since is None else since, math.inf if until is None else until
+    )
+    collector = _Collector(entries, criteria)
+    try:
+        asyncio.run(collector.follow(form) if follow else collector.show(form))
+    except KeyboardInterrupt:
+        sys.exit(exit_codes.COMPLETE)
+    sys.exit(exit_codes.FAILED if collector.missing else exit_codes.COMPLETE)
+
+
+class _Collector:
+    """Reads all processes into one time line and prints what matches."""
+
+    def __init__(self, entries: tuple[str, ...], criteria: event_filter.Criteria) -> None:
+        self._entries = entries
+        self._feeds: dict[str, timeline.EventFeed] = {}
+        self._timeline = timeline.Timeline()
+        self._agent_workspaces: dict[str, str] = {}
+        self._filter = timeline.EventFilter(criteria, self._agent_workspaces)
+        self._missing: dict[str, str] = {}
+
+    @property
+    def missing(self) -> "abc.Collection[str]":
+        """URLs of the processes that do not answer."""
+        return self._missing
+
+    async def show(self, form: str) -> None:
+        """Print everything that is held now."""
+        async with client.EntryClient() as http:
+            await self._discover(http)
+            await self._read()
+        matching = [placed for placed in self._timeline.take() if self._filter.matches(placed)]
+        if form == "html":
+            click.echo(timeline.HtmlPage(matching).render(), nl=False)
+        else:
+            self._print(matching, form)
+
+    async def follow(self, form: str) -> None:
+        """Print events for ever, each HOLD_S after it was read."""
+        loop = asyncio.get_running_loop()
+        async with client.EntryClient() as http:
+            discovered_at = -math.inf
+            while True:
+                if loop.time() - discovered_at > REDISCOVER_S:
+                    await self._discover(http)
+                    discovered_at = loop.time()
+                await self._read()
+                taken = self._timeline.take(loop.time() - HOLD_S)
+                self._print([placed for placed in taken if self._filter.matches(placed)], form)
+                await asyncio.sleep(POLL_S)
+
+    async def _discover(self, http: client.EntryClient) -> None:
+        for process in await client.ProcessDirectory(http).discover(self._entries):
+            if process.url not in self._feeds:
+                self._feeds[process.url] = timeline.EventFeed(http, process)
+            if process.role == "agent":
+                self._agent_workspaces[process.name] = process.workspace
+
+    async def _read(self) -> None:
+        feeds = list(self._feeds.values())
+        for feed, events in zip(feeds, await asyncio.gather(*(feed.read() for feed in feeds)), strict=True):
+            self._timeline.add(events, asyncio.get_running_loop().time())
+            self._note(feed)
+
+    def _note(self, feed: timeline.EventFeed) -> None:
+        url, name = feed.process.url, feed.process.name
+        if not feed.answers and url not in self._missing:
+            self._missing[url] = name
+            click.echo(f"{name} does not answer at {url}; its events are missing", err=True)
+        elif feed.answers and url in self._missing:
+            del self._missing[url]
+            click.echo(f"{name} answers again", err=True)
 
-@click.command()
-def timeline() -> None:
-    """Show the events of all processes in one order."""
-    raise click.ClickException("not available in this version")
+    @staticmethod
+    def _print(events: "abc.Iterable[timeline.PlacedEvent]", form: str) -> None:
+        for placed in events:
+            click.echo(placed.as_json() if form == "json" else placed.as_text())
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -113,11 +113,12 @@
         self._push(job)
         self._counters.add("jobs_accepted", self.workspace, "")
         self._counters.add("tasks_accepted", self.workspace, "", job.task_count)
-        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count)
+        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count, workspace=self.workspace)
         self.schedule()
 
     def cancel(self, job: jobs.Job) -> None:
         """Refuse the queued tasks of a job; running ones finish."""
+        self._events.record("job_cancelled", job=str(job.id), queued=job.queued_count)
         self._refuse_queued(job, jobs.Reason.CANCELLED)
 
     def schedule(self) -> None:
@@ -237,16 +238,19 @@
         for worker in available:
             batch = batches.get(worker.name, [])
             if batch:
-                worker.assign(batch, self._queued_count, now)
+                number = worker.assign(batch, self._queued_count, now).number
                 self._counters.add("tasks_sent", self.workspace, "", len(batch))
                 for job, task, _ in batch:
-                    self._events.record("task_sent", job=str(job.id), task=task.index, worker=worker.name)
+                    self._events.record(
+                        "task_sent", job=str(job.id), task=task.index, worker=worker.name, assign=number
+                    )
             elif self._queued_count and not worker.shown_demand and not worker.free_slots:
                 worker.assign([], self._queued_count, now)
 
     def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> None:
         task_id = ids.TaskId(outcome.session, outcome.number, outcome.task)
-        if worker.end(task_id) is None or task_id.job not in self._jobs:
+        sent = worker.end(task_id)
+        if sent is None or task_id.job not in self._jobs:
             self._counters.add("messages_wasted", self.workspace, "late_result")
             return
         now = asyncio.get_running_loop().time()
@@ -255,12 +259,21 @@
             self._counters.add("messages_wasted", self.workspace, outcome.reason)
             if outcome.reason in PAUSING_REASONS:
                 worker.pause(now)
+            self._events.record(
+                "task_returned",
+                job=str(task_id.job),
+                task=outcome.task,
+                worker=worker.name,
+                assign=sent.number,
+                reason=outcome.reason,
+            )
             self._return_to_queue(task_id)
             return
         job = self._jobs[task_id.job]
         if state is jobs.TaskState.COMPLETED:
             self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000)
-        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms)
+        origin: dict[str, str | int] = {"worker": worker.name, "assign": sent.number}
+        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms, origin)
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
 
@@ -304,11 +317,14 @@
         reason: str = "",
         result: bytes = b"",
         run_ms: float = 0,
+        origin: "abc.Mapping[str, str | int] | None" = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         if job.finish_task(index, state, now, reason, result, run_ms):
             self._counters.add(f"tasks_{state.value}", self.workspace, reason)
-            self._events.record("task_ended", job=str(job.id), task=index, state=state.value, reason=reason)
+            self._events.record(
+                "task_ended", job=str(job.id), task=index, state=state.value, reason=reason, **(origin or {})
+            )
         self._settle(job)
 
     def _settle(self, job: jobs.Job) -> None:
--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -67,6 +67,7 @@
         current = self._config_source.current
         if current is None:
             return
+        self._events.record_state("configuration_applied", version=current.version)
         for name, found in self._dispatchers.items():
             if name in current.workspaces:
                 found.apply(current.workspaces[name])
@@ -81,7 +82,9 @@
         self.workspace_config(workspace)
         if self._draining:
             raise exceptions.DrainingError("this entry is being stopped; use another one")
-        return self._sessions.open(workspace, asyncio.get_running_loop().time()).id
+        opened = self._sessions.open(workspace, asyncio.get_running_loop().time())
+        self._events.record("session_opened", session=opened.id, workspace=workspace)
+        return opened.id
 
     def submit(self, workspace: ids.WorkspaceName, job_id: ids.JobId, request: jobs.JobRequest) -> jobs.Job:
         """Accept a job or attach to the one already submitted; a refusal starts nothing."""
@@ -94,10 +97,15 @@
             self._counters.add("jobs_resubmitted", workspace, "")
             return attached
         if self._draining:
+            self._events.record("job_refused", job=str(job_id), workspace=workspace, code=exceptions.DrainingError.code)
             raise exceptions.DrainingError("this entry is being stopped; open a session at another one")
         deadline_ms = min(request.deadline_ms or config.default_deadline_ms, config.max_deadline_ms)
         job = jobs.Job(job_id, request, now, deadline_ms)
-        self.dispatcher(workspace).admit(job)
+        try:
+            self.dispatcher(workspace).admit(job)
+        except exceptions.OverloadedError as error:
+            self._events.record("job_refused", job=str(job_id), workspace=workspace, code=error.code)
+            raise
         session.add(job)
         return job
 
--- a/src/cactusgauge/observability/event_ring.py
+++ b/src/cactusgauge/observability/event_ring.py
@@ -4,12 +4,14 @@
 import collections
 import itertools
 import json
+import secrets
 import time
 from typing import NamedTuple
 
 from absl import logging
 
 DEFAULT_CAPACITY = 20_000
+ID_BYTES = 8
 
 
 class Event(NamedTuple):
@@ -24,23 +26,47 @@
 
 
 class EventRing:
-    """Keeps the last events of one process."""
+    """Keeps the last events of one process, numbered from 1 without gaps.
+
+    Every task pays for several events, so recording stores only the monotonic time; reading adds the rest. Unix times
+    all follow from the clock at the moment of reading, so a step of the clock does not reorder events.
+    """
 
     def __init__(self, process: str, capacity: int = DEFAULT_CAPACITY) -> None:
         self._process = process
-        self._events: collections.deque[Event] = collections.deque(maxlen=capacity)
-        self._numbers = itertools.count(1)
+        self._id = secrets.token_hex(ID_BYTES)
+        self._events: collections.deque[tuple[float, str, dict[str, str | int | float]]] = collections.deque(
+            maxlen=capacity
+        )
+        self._last_number = 0
+
+    @property
+    def id(self) -> str:
+        """Random id of this ring; another one means that the process was restarted and numbers begin anew."""
+        return self._id
+
+    @property
+    def last_number(self) -> int:
+        """Number of the last event, 0 if there is none."""
+        return self._last_number
 
     def record(self, kind: str, **fields: str | int | float) -> None:
         """Record an event of a task, job or message."""
-        loop_s = asyncio.get_running_loop().time()
-        self._events.append(Event(next(self._numbers), time.time(), loop_s, self._process, kind, fields))
+        self._last_number += 1
+        self._events.append((asyncio.get_running_loop().time(), kind, fields))
 
     def record_state(self, kind: str, **fields: str | int | float) -> None:
         """Record a change of state of the process and log it as one structured line."""
         self.record(kind, **fields)
         logging.info("%s", json.dumps({"process": self._process, "event": kind, **fields}))
 
-    def since(self, number: int) -> list[Event]:
-        """Return the held events with a number above `number`, oldest first."""
-        return [event for event in self._events if event.number > number]
+    def since(self, number: int, limit: int | None = None) -> list[Event]:
+        """Return the held events with a number above `number`, oldest first and at most `limit`."""
+        first = self._last_number - len(self._events) + 1
+        start = max(0, number + 1 - first)
+        stop = None if limit is None else start + limit
+        wall_offset_s = time.time() - asyncio.get_running_loop().time()
+        return [
+            Event(first + start + index, loop_s + wall_offset_s, loop_s, self._process, kind, fields)
+            for index, (loop_s, kind, fields) in enumerate(itertools.islice(self._events, start, stop))
+        ]
--- a/src/cactusgauge/operations_resource.py
+++ b/src/cactusgauge/operations_resource.py
@@ -14,6 +14,8 @@
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/v1/status"
 EVENTS_PATH = "/v1/events"
+RING_HEADER = "Cactusgauge-Ring"
+MAX_EVENTS = 1000  # of one reply; encoding these holds up dispatch for a few milliseconds
 
 
 class DaemonState(abc.ABC):
@@ -72,8 +74,16 @@
         response.media = self._state.status()
 
     async def on_get_events(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
-        """Answer with the events after `?after=NUMBER` as JSON lines."""
-        after = request.get_param_as_int("after", default=0)
-        lines = [json.dumps(event._asdict()) for event in self._state.events.since(after)]
+        """Answer with up to MAX_EVENTS events after `?after=NUMBER` as JSON lines; the last ones with `?last=COUNT`.
+
+        RING_HEADER names the ring; another one means that the process was restarted and numbers begin anew.
+        """
+        after = request.get_param_as_int("after", default=0, min_value=0)
+        last = request.get_param_as_int("last", min_value=0, max_value=MAX_EVENTS)
+        ring = self._state.events
+        if last is not None:
+            after = max(0, ring.last_number - last)
+        lines = [json.dumps(event._asdict()) for event in ring.since(after, MAX_EVENTS)]
+        response.set_header(RING_HEADER, ring.id)
         response.content_type = "application/jsonl"
         response.text = "".join(f"{line}\n" for line in lines)
--- /dev/null
+++ b/src/cactusgauge/timeline/__init__.py
@@ -0,0 +1,22 @@
+"""The time line: events of all processes in one order."""
+
+from cactusgauge.timeline.clock_offsets import ClockOffsets
+from cactusgauge.timeline.event_feed import EventFeed
+from cactusgauge.timeline.event_filter import EventFilter
+from cactusgauge.timeline.html_page import HtmlPage
+from cactusgauge.timeline.message_pairs import MessagePair, MessagePairs
+from cactusgauge.timeline.timeline import Timeline
+from cactusgauge.timeline.timeline_event import EventKey, PlacedEvent, TimelineEvent
+
+__all__ = [
+    "ClockOffsets",
+    "EventFeed",
+    "EventFilter",
+    "EventKey",
+    "HtmlPage",
+    "MessagePair",
+    "MessagePairs",
+    "PlacedEvent",
+    "Timeline",
+    "TimelineEvent",
+]
--- /dev/null
+++ b/src/cactusgauge/timeline/event_filter.py
@@ -0,0 +1,58 @@
+"""Chooses events of the time line."""
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from cactusgauge.timeline import timeline_event
+
+
+class Criteria(NamedTuple):
+    """What to show; empty values match everything. A job is `SESSION/NUMBER`, or a session for all of its jobs."""
+
+    job: str = ""
+    worker: str = ""
+    workspace: str = ""
+    since_s: float = -math.inf
+    until_s: float = math.inf
+
+
+class EventFilter:
+    """Tells which events match; it must see every event in order, as workspaces of sessions are learned from them."""
+
+    def __init__(self, criteria: Criteria, agent_workspaces: dict[str, str]) -> None:
+        self._criteria = criteria
+        self._agent_workspaces = agent_workspaces
+        self._session_workspaces: dict[str, str] = {}
+
+    def matches(self, placed: "timeline_event.PlacedEvent") -> bool:
+        """Return whether an event is shown."""
+        event, wanted = placed.event, self._criteria
+        session = self._session(event)
+        if session and "workspace" in event.fields:
+            self._session_workspaces[session] = event.fields["workspace"]
+        if not wanted.since_s <= placed.time_s <= wanted.until_s:
+            return False
+        if wanted.job and wanted.job not in (event.fields.get("job"), session):
+            return False
+        if wanted.worker and wanted.worker not in (
+            event.process,
+            event.fields.get("worker"),
+            event.fields.get("agent"),
+        ):
+            return False
+        return not wanted.workspace or self._workspace(event, session) == wanted.workspace
+
+    def _workspace(self, event: "timeline_event.TimelineEvent", session: str) -> str:
+        own = event.fields.get("workspace") or self._session_workspaces.get(session)
+        if own:
+            return str(own)
+        for name in (event.process, event.fields.get("worker"), event.fields.get("agent")):
+            if name in self._agent_workspaces:
+                return self._agent_workspaces[name]
+        return ""
+
+    @staticmethod
+    def _session(event: "timeline_event.TimelineEvent") -> str:
+        job = str(event.fields.get("job", ""))
+        return job.partition("/")[0] or str(event.fields.get("session", ""))
