Report an unknown outcome for an expired session or job

Cause: session_expired and job_expired inherited 'ran: nothing', but an owner that dropped a session or evicted an answer no longer knows whether the job ran. Ruled out: session_closed and draining, for which the holder of the session still knows all numbers; unknown_job at the owner, whose session is held. Before: a PUT to a dropped session said 'nothing' (seen with curl; the new test fails). After: 'unknown'; the command line opens a new session only if the number was never sent before, which it knows itself.

--- a/src/cactusgauge/client/job_client.py
+++ b/src/cactusgauge/client/job_client.py
@@ -18,10 +18,8 @@
 
 # The owner refuses the number for ever after these, so an earlier request still on its way cannot run it either.
 CLOSED_CODES = frozenset({exceptions.DrainingError.code, exceptions.SessionClosedError.code})
-# Proof only for a number that was never used before: the session may have been dropped with its finished jobs.
+# The session was dropped with its finished jobs, so this is a proof only for a number that was never sent before.
 FORGOTTEN_CODES = frozenset({exceptions.SessionExpiredError.code})
-# The number was used; nothing is known about what became of it.
-EXPIRED_CODES = frozenset({exceptions.JobExpiredError.code})
 # Refusals that another attempt may not meet.
 PASSING_CODES = frozenset({exceptions.OverloadedError.code, exceptions.NotReadyError.code, entry_client.NO_CONNECTION})
 
@@ -197,7 +195,7 @@
 
     @staticmethod
     def _refused(job: JobRef, reply: entry_client.EntryReply, may_run: bool) -> JobResult:
-        proved = reply.ran == exceptions.Ran.NOTHING.value and reply.code not in EXPIRED_CODES
+        proved = reply.ran == exceptions.Ran.NOTHING.value or reply.code in FORGOTTEN_CODES
         if may_run:
             proved = proved and reply.code in CLOSED_CODES | {exceptions.JobConflictError.code}
         return JobResult(Outcome.REFUSED if proved else Outcome.UNKNOWN, job, code=reply.code, message=reply.message)
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -47,7 +47,7 @@
 
 
 class RequestError(CactusgaugeError):
-    """A caller's request is refused and nothing of it ran."""
+    """A caller's request is refused and, unless `ran` says otherwise, nothing of its job ran."""
 
     code = "bad_request"
     http_status = 400
@@ -83,10 +83,11 @@
 
 
 class SessionExpiredError(RequestError):
-    """The owner no longer holds the session."""
+    """The owner no longer holds the session; a job of it may have run before it expired."""
 
     code = "session_expired"
     http_status = 410
+    ran = Ran.UNKNOWN
 
 
 class SessionClosedError(RequestError):
@@ -97,10 +98,11 @@
 
 
 class JobExpiredError(RequestError):
-    """The job's number is at or below the watermark and its answer is no longer held."""
+    """The job's number is at or below the watermark and its answer is no longer held; it may have run."""
 
     code = "job_expired"
     http_status = 410
+    ran = Ran.UNKNOWN
 
 
 class JobConflictError(RequestError):
--- a/tests/unit/client/test_job_client.py
+++ b/tests/unit/client/test_job_client.py
@@ -72,7 +72,8 @@
 ) -> None:
     """Guards against a job that may have run being run again in a new session."""
     status = 503 if code == "draining" else 410
-    scripted = ScriptedClient(*before, (status, refusal(code)), (200, ANSWER))
+    ran = "unknown" if code.endswith("expired") else "nothing"
+    scripted = ScriptedClient(*before, (status, refusal(code, ran)), (200, ANSWER))
     result, renewals = await submit(scripted, fresh)
     if renewed:
         assert (result.outcome, result.job.session, renewals) == (client.Outcome.COMPLETE, NEW, 1)
--- a/tests/unit/entry/test_request_router.py
+++ b/tests/unit/entry/test_request_router.py
@@ -83,3 +83,11 @@
     with pytest.raises(exceptions.TooManyTasksError) as caught:
         await router.ask(caller_request.Method.SUBMIT, fresh)
     assert caught.value.ran is exceptions.Ran.NOTHING
+
+
+async def test_expired_session_or_job_does_not_claim_that_nothing_ran(router: Router) -> None:
+    """Guards against a caller running a job again whose answer was dropped after it ran."""
+    with pytest.raises(exceptions.SessionExpiredError) as session_expired:
+        await router.ask(caller_request.Method.SUBMIT, f"{router.own}-dropped")
+    assert session_expired.value.ran is exceptions.Ran.UNKNOWN
+    assert exceptions.JobExpiredError.ran is exceptions.Ran.UNKNOWN
