Name a link port in use in one line; keep library lines out of the log

Cause: only the HTTP port's bind error became a SettingsError; that of the link port ended the daemon with a traceback and status 1. uvicorn and websockets logged one line for every connection, though log lines are for state changes. Ruled out: the settings check, which cannot know what listens on a port. Before: a traceback of the task group, 4 library lines at each start. After: 'cannot listen on IP:PORT; is the port in use?' and status 2; warnings only from the libraries.

--- a/src/cactusgauge/console/daemon.py
+++ b/src/cactusgauge/console/daemon.py
@@ -1,13 +1,14 @@
 """The `cactusgauged` command: one daemon process."""
 
 import asyncio
+import logging as standard_logging
 import pathlib
 import signal
 import sys
 from typing import TYPE_CHECKING
 
 import click
-from absl import logging
+from absl import flags, logging
 
 from cactusgauge import configuration, exceptions, settings
 from cactusgauge.agent import agent_daemon
@@ -17,6 +18,7 @@
     from cactusgauge import ids
 
 EXIT_BAD_SETTINGS = 2
+NOISY_LIBRARIES = ("uvicorn", "websockets")  # one line for every connection
 
 
 @click.command()
@@ -31,9 +33,7 @@
 @click.version_option(package_name="cactusgauge")
 def main(settings_path: pathlib.Path, check: bool) -> None:
     """Run one cactusgauge daemon: an entry or an agent, as the settings say."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.INFO)
+    _set_up_logging()
     try:
         own = settings.SettingsLoader(settings_path).load()
         if check:
@@ -51,6 +51,16 @@
         sys.exit(EXIT_BAD_SETTINGS)
 
 
+def _set_up_logging() -> None:
+    """Log changes of state of this process to standard error; of libraries only warnings."""
+    flags.FLAGS(["cactusgauged"])  # absl warns about every program that does not parse its flags
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
+    for library in NOISY_LIBRARIES:
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
+
+
 async def _run(own: settings.EntrySettings | settings.AgentSettings) -> None:
     daemon: entry_daemon.EntryDaemon | agent_daemon.AgentDaemon
     if isinstance(own, settings.EntrySettings):
--- a/src/cactusgauge/entry/link_server.py
+++ b/src/cactusgauge/entry/link_server.py
@@ -35,16 +35,22 @@
         self._peers = peers
 
     async def run(self) -> None:
-        """Serve until cancelled."""
-        async with server.serve(
-            self._serve,
-            self._host,
-            self._port,
-            compression=None,
-            ping_interval=None,
-            max_size=wire.MAX_FRAME_BYTES,
-            close_timeout=1,
-        ) as listener:
+        """Serve until cancelled; raise `SettingsError` if the port cannot be bound."""
+        try:
+            listener = await server.serve(
+                self._serve,
+                self._host,
+                self._port,
+                compression=None,
+                ping_interval=None,
+                max_size=wire.MAX_FRAME_BYTES,
+                close_timeout=1,
+            )
+        except OSError as error:
+            raise exceptions.SettingsError(
+                f"cannot listen on {self._host}:{self._port}; is the port in use?"
+            ) from error
+        async with listener:
             await listener.serve_forever()
 
     async def _serve(self, connection: server.ServerConnection) -> None:
