--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -85,6 +85,7 @@
             WORKSPACE,
             ids.DataCentreName("serra"),
             8,
+            f"http://{cluster.HOST}:{number}",
         )
         self._codec = codec
         self._last_assign = 0
