Add the operators' page, example settings and their checks

A session file opens a new session after its owner was lost; the end of a task at a lost agent names that agent on the time line.

--- a/src/cactusgauge/client/session_file.py
+++ b/src/cactusgauge/client/session_file.py
@@ -17,13 +17,17 @@
 
 
 class SessionRecord(pydantic.BaseModel):
-    """Content of the file; `last_number` is the highest number that was ever given to a job."""
+    """Content of the file; `last_number` is the highest number that was ever given to a job.
+
+    A lost session takes no new jobs, as its owner was lost; the answers of its jobs can still be asked for.
+    """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     workspace: str
     session: ids.SessionId
     last_number: int = pydantic.Field(default=FIRST_NUMBER - 1, ge=FIRST_NUMBER - 1)
+    lost: bool = False
 
 
 class SessionFile:
@@ -39,10 +43,10 @@
             return self._load(descriptor)
 
     def take_number(self) -> SessionRecord | None:
-        """Raise the last number by one and return the record, or None if there is no session yet."""
+        """Raise the last number by one and return the record, or None if a new session is needed."""
         with self._locked() as descriptor:
             record = self._load(descriptor)
-            if record is None:
+            if record is None or record.lost:
                 return None
             taken = record.model_copy(update={"last_number": record.last_number + 1})
             self._store(descriptor, taken)
@@ -55,6 +59,13 @@
             self._store(descriptor, record)
             return record
 
+    def mark_lost(self, session: ids.SessionId) -> None:
+        """Note that the owner of a session was lost; a session that was replaced meanwhile is ignored."""
+        with self._locked() as descriptor:
+            record = self._load(descriptor)
+            if record is not None and record.session == session:
+                self._store(descriptor, record.model_copy(update={"lost": True}))
+
     @contextlib.contextmanager
     def _locked(self) -> "abc.Iterator[int]":
         try:
--- a/src/cactusgauge/console/job_commands.py
+++ b/src/cactusgauge/console/job_commands.py
@@ -96,7 +96,7 @@
             first = await renew()
         return await jobs.submit(first, body, timeout_s, renew, wait=not no_wait)
 
-    _execute(run, entries, workspace, as_json, results)
+    _execute(run, entries, workspace, as_json, results, session_file)
 
 
 @job.command()
@@ -120,7 +120,7 @@
 ) -> None:
     """Wait for the answer of a submitted job."""
     ref = _find_job(workspace, session, session_file, number)
-    _execute(lambda jobs: jobs.wait(ref, timeout_s), entries, workspace, as_json, results)
+    _execute(lambda jobs: jobs.wait(ref, timeout_s), entries, workspace, as_json, results, session_file)
 
 
 @job.command()
@@ -142,7 +142,7 @@
 ) -> None:
     """Cancel a job: its queued tasks do not run, its running ones finish."""
     ref = _find_job(workspace, session, session_file, number)
-    _execute(lambda jobs: jobs.cancel(ref, timeout_s), entries, workspace, as_json, results=False)
+    _execute(lambda jobs: jobs.cancel(ref, timeout_s), entries, workspace, as_json, False, session_file)
 
 
 def _check_body(name: str, body: bytes) -> None:
@@ -189,6 +189,7 @@
     workspace: str,
     as_json: bool,
     results: bool,
+    session_file: pathlib.Path | None,
 ) -> NoReturn:
     began = time.monotonic()
     progress = _Progress()
@@ -210,6 +211,8 @@
         click.echo(f"interrupted{progress.hint}", err=True)
         sys.exit(exit_codes.UNKNOWN)
     progress.clear()
+    if session_file is not None and result.answer is not None and result.answer.get("recovered"):
+        client.SessionFile(session_file, workspace).mark_lost(result.job.session)
     if as_json:
         click.echo(json.dumps(_as_document(result)))
     else:
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -307,7 +307,8 @@
         for task_id in worker.abandon():
             job = self._jobs.get(task_id.job)
             if job is not None:
-                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value)
+                origin = {"worker": worker.name}
+                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value, origin=origin)
 
     def _finish_task(
         self,
--- /dev/null
+++ b/tests/unit/test_operations_page.py
@@ -0,0 +1,51 @@
+"""The operators' page names everything that operators and callers meet."""
+
+import pathlib
+import re
+from collections import abc
+
+import pytest
+
+from cactusgauge import exceptions, jobs, settings
+from cactusgauge.settings import daemon_settings
+
+ROOT = pathlib.Path(__file__).parents[2]
+PAGE = (ROOT / "docs/operations.md").read_text()
+INTERNAL = {"internal", "protocol_error", "link_closed", "bad_settings", "log_unavailable"}
+
+
+def _subclasses(kind: type[exceptions.CactusgaugeError]) -> abc.Iterator[type[exceptions.CactusgaugeError]]:
+    for each in kind.__subclasses__():
+        yield each
+        yield from _subclasses(each)
+
+
+def test_page_names_every_setting_code_and_state_change() -> None:
+    """Guards against an operator meeting a key, code or log line that is explained nowhere."""
+    models = (daemon_settings.EntrySettings, daemon_settings.AgentSettings)
+    keys = {key for model in models for key in model.model_fields}
+    codes = {each.code for each in _subclasses(exceptions.CactusgaugeError)} - INTERNAL
+    sources = (path.read_text() for path in (ROOT / "src/cactusgauge").rglob("*.py"))
+    events = {kind for text in sources for kind in re.findall(r'record_state\(\s*"(\w+)"', text)}
+    missing = sorted(name for name in keys | codes | events if f"`{name}`" not in PAGE)
+    assert len(events) > 10
+    assert missing == []
+
+
+def test_page_says_what_each_code_proves() -> None:
+    """Guards against the page claiming `nothing ran` where the interface does not."""
+    rows = dict(re.findall(r"^\| `(\w+)`[^|]*\| \d+ \| (\w+) \|", PAGE, re.MULTILINE))
+    shown = {each.code: each.ran.value for each in _subclasses(exceptions.CactusgaugeError) if each.code in rows}
+    assert shown == {code: ran for code, ran in rows.items() if code in shown}
+    assert len(shown) > 8
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "examples").glob("*.yaml")), ids=lambda path: path.name)
+def test_example_settings_are_valid(path: pathlib.Path) -> None:
+    """Guards against examples that a change of the settings left behind."""
+    assert settings.SettingsLoader(path).load().name == path.stem
+
+
+def test_example_job_is_valid() -> None:
+    """Guards against an example that every entry refuses."""
+    assert jobs.JobRequestParser(340, 1_048_576).parse((ROOT / "examples/job.json").read_bytes()).tasks
