Add accounting records, their writer, usage and audit

Every process keeps cumulative counts; both sides of a pair count a message when its number makes its effect certain, so accounts compare exactly by number. A failed append is repeated unchanged, so chains have no gap that an outage would explain.

--- /dev/null
+++ b/src/cactusgauge/accounting/__init__.py
@@ -0,0 +1,31 @@
+"""Accounting: records of consumption on the platform log, bills and their audit."""
+
+from cactusgauge.accounting.account_book import AccountBook, Chain, Finding, FindingKind
+from cactusgauge.accounting.account_log import AccountLog, LogEntry
+from cactusgauge.accounting.account_record import STREAM, AccountRecord, CounterRow
+from cactusgauge.accounting.account_writer import DEFAULT_INTERVAL_S, AccountWriter, Snapshot
+from cactusgauge.accounting.audit import Audit
+from cactusgauge.accounting.cost_split import split_cost
+from cactusgauge.accounting.pair_account import PairAccount, PairTotals
+from cactusgauge.accounting.usage import Usage, WorkspaceUsage
+
+__all__ = [
+    "AccountBook",
+    "AccountLog",
+    "AccountRecord",
+    "AccountWriter",
+    "Audit",
+    "Chain",
+    "CounterRow",
+    "DEFAULT_INTERVAL_S",
+    "Finding",
+    "FindingKind",
+    "LogEntry",
+    "PairAccount",
+    "PairTotals",
+    "STREAM",
+    "Snapshot",
+    "Usage",
+    "WorkspaceUsage",
+    "split_cost",
+]
--- /dev/null
+++ b/src/cactusgauge/accounting/account_record.py
@@ -0,0 +1,82 @@
+"""Accounting records as they stand on the log."""
+
+import hashlib
+import json
+from typing import NamedTuple
+
+import pydantic
+
+from cactusgauge import exceptions
+from cactusgauge.accounting import pair_account
+
+STREAM = "accounting"
+ACCOUNTED_COUNTERS = frozenset(
+    {
+        "bytes_received",
+        "bytes_sent",
+        "jobs_accepted",
+        "messages_received",
+        "messages_sent",
+        "messages_wasted",
+        "slot_seconds",
+        "starts_refused",
+        "tasks_accepted",
+        "tasks_completed",
+        "tasks_failed",
+        "tasks_not_run",
+        "tasks_sent",
+        "tasks_started",
+        "tasks_unknown",
+    }
+)
+
+
+class CounterRow(NamedTuple):
+    """A cumulative counter; `workspace` is empty for what serves all workspaces."""
+
+    name: str
+    workspace: str
+    label: str
+    value: float
+
+
+class AccountRecord(pydantic.BaseModel):
+    """Cumulative account of one process incarnation; `at_s` is Unix time on its clock.
+
+    `previous` is the hash of the record before, empty in the first one. `final` marks the record of a planned stop,
+    after which the process counts nothing more.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    process: str
+    role: str
+    incarnation: str
+    sequence: int = pydantic.Field(ge=1)
+    previous: str
+    at_s: float
+    final: bool
+    rows: list[CounterRow]
+    pairs: list[pair_account.PairTotals]
+
+    @property
+    def hash(self) -> str:
+        """SHA-256 of the content, in hexadecimal."""
+        return hashlib.sha256(self._canonical()).hexdigest()
+
+    def encode(self) -> bytes:
+        """Return the JSON document for the log, with the hash."""
+        return json.dumps({"hash": self.hash, "record": json.loads(self._canonical())}, sort_keys=True).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "tuple[AccountRecord, bool]":
+        """Return the record and whether its hash fits; raise `AccountingError` if it is no record."""
+        try:
+            document = json.loads(data)
+            record = cls.model_validate(document["record"])
+            return record, record.hash == document["hash"]
+        except (ValueError, KeyError, TypeError) as error:
+            raise exceptions.AccountingError("not an accounting record") from error
+
+    def _canonical(self) -> bytes:
+        return json.dumps(self.model_dump(mode="json"), sort_keys=True, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/cactusgauge/accounting/account_writer.py
@@ -0,0 +1,115 @@
+"""Appends a process's accounting records to the log."""
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge import exceptions
+from cactusgauge.accounting import account_record
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import observability
+    from cactusgauge.accounting import account_log, pair_account
+
+DEFAULT_INTERVAL_S = 10.0  # 600 processes then make 60 appends/s, of several hundred that the log accepts
+CLOSE_TIMEOUT_S = 5.0  # a planned stop does not wait longer for a log that is down
+CLOSE_RETRY_S = 0.5
+
+
+class Snapshot(NamedTuple):
+    """The cumulative counts of a process at one moment."""
+
+    rows: "list[tuple[str, str, str, float]]"
+    pairs: "list[pair_account.PairTotals]"
+
+
+class AccountWriter:
+    """Writes a record every interval and one at the stop.
+
+    A record whose append failed is repeated unchanged before a new one is made, so the chain on the log has no gap
+    that an outage would explain. A repeated record has the same sequence number and counts once.
+    """
+
+    def __init__(
+        self,
+        log: "account_log.AccountLog",
+        process: str,
+        role: str,
+        incarnation: str,
+        snapshot: "abc.Callable[[], Snapshot]",
+        events: "observability.EventRing",
+        interval_s: float = DEFAULT_INTERVAL_S,
+    ) -> None:
+        self._log = log
+        self._process = process
+        self._role = role
+        self._incarnation = incarnation
+        self._snapshot = snapshot
+        self._events = events
+        self._interval_s = interval_s
+        self._sequence = 0
+        self._previous = ""
+        self._pending: account_record.AccountRecord | None = None
+        self._appending = asyncio.Lock()
+        self._available = True
+
+    async def run(self) -> None:
+        """Append a record every interval until cancelled."""
+        while True:
+            await asyncio.sleep(self._interval_s)
+            await self._append(final=False)
+
+    async def close(self) -> None:
+        """Append the final record; give up after CLOSE_TIMEOUT_S."""
+        done = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                while not done:
+                    done = await self._append(final=True)
+                    if not done:
+                        await asyncio.sleep(CLOSE_RETRY_S)
+        if not done:
+            self._events.record_state("accounting_incomplete", last_sequence=self._sequence)
+
+    async def _append(self, final: bool) -> bool:
+        """Append what is due; return whether the newest record made was appended."""
+        async with self._appending:
+            if self._pending is not None and not await self._append_pending():
+                return False
+            self._pending = self._next_record(final)
+            return await self._append_pending()
+
+    async def _append_pending(self) -> bool:
+        assert self._pending is not None
+        try:
+            await self._log.append(account_record.STREAM, self._pending.encode())
+        except exceptions.LogServiceError:
+            self._note_available(False)
+            return False
+        self._note_available(True)
+        self._sequence = self._pending.sequence
+        self._previous = self._pending.hash
+        self._pending = None
+        return True
+
+    def _next_record(self, final: bool) -> account_record.AccountRecord:
+        taken = self._snapshot()
+        return account_record.AccountRecord(
+            process=self._process,
+            role=self._role,
+            incarnation=self._incarnation,
+            sequence=self._sequence + 1,
+            previous=self._previous,
+            at_s=time.time(),
+            final=final,
+            rows=[account_record.CounterRow(*row) for row in taken.rows if row[0] in account_record.ACCOUNTED_COUNTERS],
+            pairs=taken.pairs,
+        )
+
+    def _note_available(self, available: bool) -> None:
+        if available != self._available:
+            self._available = available
+            self._events.record_state("accounting_log_available", available=available)
--- /dev/null
+++ b/src/cactusgauge/accounting/audit.py
@@ -0,0 +1,228 @@
+"""Compares the accounts of entries and agents."""
+
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge.accounting import account_book
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge.accounting import pair_account
+
+CLOCK_SLACK_S = 5.0  # clocks of VMs are expected to agree within this
+KILL_WINDOW_S = 30.0  # three intervals: the most that a process ahead of its last append can have counted since
+
+
+class View(NamedTuple):
+    """One side's counts of one kind of message at the time of a record."""
+
+    at_s: float
+    number: int
+    counts: tuple[int, ...]
+    is_final: bool
+
+
+class Side(NamedTuple):
+    """All views of one side; the sender counts what was acknowledged, the receiver what it handled."""
+
+    name: str
+    views: list[View]
+
+    @property
+    def last(self) -> View:
+        """The newest view."""
+        return self.views[-1]
+
+    @property
+    def grew_at_s(self) -> float:
+        """Time of the first view that shows the newest counts."""
+        return next(view.at_s for view in self.views if view.number == self.last.number)
+
+
+class MessageKind(NamedTuple):
+    """The counts that belong to one numbered stream of messages."""
+
+    name: str
+    sender_role: str
+    unit: str
+    number: str
+    counts: tuple[str, ...]
+
+
+MESSAGE_KINDS = (
+    MessageKind("starts", "entry", "starts", "assign_number", ("starts",)),
+    MessageKind("results", "agent", "outcomes", "results_number", ("outcomes", "refused", "run_us")),
+)
+
+
+class Audit:
+    """Pairs the records of each entry incarnation with those of each agent incarnation, by message numbers.
+
+    Numbers make the comparison exact and independent of clocks: at the same number both sides must show the same
+    counts, and in the order of numbers counts never decrease, whichever side shows them.
+    """
+
+    def __init__(self, book: account_book.AccountBook) -> None:
+        self._book = book
+        self._findings = list(book.findings)
+        self._append_times = sorted(record.at_s for chain in book.chains.values() for record in chain.records)
+        for entry, agent in self._pairs():
+            for kind in MESSAGE_KINDS:
+                self._compare(kind, entry, agent)
+
+    @property
+    def findings(self) -> list[account_book.Finding]:
+        """All discrepancies."""
+        return self._findings
+
+    @property
+    def violations(self) -> list[account_book.Finding]:
+        """The discrepancies that no fault explains."""
+        return [finding for finding in self._findings if not finding.kind.is_open]
+
+    def _pairs(self) -> list[tuple[str, str]]:
+        """Return entry and agent incarnations that at least one side names as a pair."""
+        pairs = set()
+        for chain in self._book.chains.values():
+            for pair in chain.last.pairs:
+                both = (chain.incarnation, pair.peer)
+                pairs.add(both if chain.role == "entry" else both[::-1])
+        return sorted(pairs)
+
+    def _compare(self, kind: MessageKind, entry: str, agent: str) -> None:
+        entry_side = self._side(kind, entry, agent)
+        agent_side = self._side(kind, agent, entry)
+        sender, receiver = (entry_side, agent_side) if kind.sender_role == "entry" else (agent_side, entry_side)
+        if not sender.views or not receiver.views:
+            self._compare_with_nothing(kind, *((sender, receiver) if sender.views else (receiver, sender)))
+            return
+        dropped = self._dropped(agent, entry)
+        if dropped and kind.sender_role == "agent":
+            # What was not acknowledged in time is counted as dropped, though it may have arrived.
+            message = f"{agent_side.name} gave up delivering {dropped} outcomes, so results cannot be compared"
+            explanation = f"{entry_side.name} was out of reach for long; {sender.last.counts[0]} were acknowledged"
+            times = (sender.views[0].at_s, sender.last.at_s)
+            self._note(account_book.FindingKind.UNFINISHED, sender, receiver, *times, message, explanation)
+            return
+        self._compare_counts(kind, sender, receiver)
+        if sender.last.number > receiver.last.number:
+            self._explain_lead(kind, sender, receiver, is_acknowledged=True)
+        elif receiver.last.number > sender.last.number:
+            self._explain_lead(kind, receiver, sender, is_acknowledged=False)
+
+    def _compare_counts(self, kind: MessageKind, sender: Side, receiver: Side) -> None:
+        merged = sorted(
+            [(view, sender) for view in sender.views] + [(view, receiver) for view in receiver.views],
+            key=lambda item: (item[0].number, item[0].counts),
+        )
+        agreed_s: float | None = None
+        for (before, first), (after, second) in itertools.pairwise(merged):
+            is_equal = before.counts == after.counts
+            if before.number == after.number and first is not second and is_equal:
+                agreed_s = max(before.at_s, after.at_s)
+            if before.number == after.number and is_equal:
+                continue
+            if before.number != after.number and all(map(int.__le__, before.counts, after.counts)):
+                continue
+            shown = ", ".join(
+                f"{name} {first_count} by {first.name} and {second_count} by {second.name}"
+                for name, first_count, second_count in zip(kind.counts, before.counts, after.counts, strict=True)
+                if first_count != second_count
+            )
+            numbers = f"{before.number}" if before.number == after.number else f"{before.number} and {after.number}"
+            message = f"{kind.name} up to message {numbers}: {shown}"
+            self._note(account_book.FindingKind.MISMATCH, second, first, agreed_s, after.at_s, message)
+            return
+
+    def _explain_lead(self, kind: MessageKind, ahead: Side, behind: Side, is_acknowledged: bool) -> None:
+        amount = ahead.last.counts[0] - behind.last.counts[0]
+        message = (
+            f"{behind.name} accounts for {kind.name} up to message {behind.last.number}, {ahead.name} up to "
+            f"{ahead.last.number}: {amount} {kind.unit} stand in one account only"
+        )
+        since_s, until_s = behind.last.at_s, ahead.grew_at_s
+        if is_acknowledged and self._is_impossible(ahead, behind):
+            message += f"; {behind.name} cannot have acknowledged these and still show less"
+            self._note(account_book.FindingKind.IMPOSSIBLE, ahead, behind, since_s, until_s, message)
+            return
+        if behind.last.is_final:
+            explanation = "the link was lost before the last acknowledgement"
+        elif until_s - since_s <= KILL_WINDOW_S:
+            explanation = (
+                f"{behind.name} runs still, or was killed or lost the link shortly before; at most this much is lost"
+            )
+        elif self._is_outage(since_s, until_s):
+            explanation = f"no process appended in between: the log was down, and {behind.name} ended meanwhile"
+        else:
+            message += f", over {until_s - since_s:.0f} s in which others appended"
+            explanation = f"only if the log was out of reach for {behind.name} alone"
+            self._note(account_book.FindingKind.MISSING, behind, ahead, since_s, until_s, message, explanation)
+            return
+        self._note(account_book.FindingKind.UNFINISHED, behind, ahead, since_s, until_s, message, explanation)
+
+    def _compare_with_nothing(self, kind: MessageKind, there: Side, missing: Side) -> None:
+        if not there.views or not there.last.number or not there.last.counts[0]:
+            return
+        began_s = next(view.at_s for view in there.views if view.counts[0])
+        message = f"{there.last.counts[0]} {kind.unit} stand only in the account of {there.name}"
+        if there.grew_at_s - began_s <= KILL_WINDOW_S or self._is_outage(began_s, there.grew_at_s):
+            explanation = f"{missing.name} was killed before its first append; at most this much is not confirmed"
+            found = account_book.FindingKind.UNFINISHED
+        else:
+            explanation = f"only if the log was out of reach for {missing.name} alone"
+            found = account_book.FindingKind.MISSING
+        self._note(found, missing, there, began_s, there.last.at_s, message, explanation)
+
+    @staticmethod
+    def _is_impossible(sender: Side, receiver: Side) -> bool:
+        """Whether the receiver, at its end or later than an acknowledgement, shows less than was acknowledged."""
+        if receiver.last.is_final:
+            return True
+        return any(
+            late.at_s > view.at_s + CLOCK_SLACK_S and late.number < view.number
+            for view in sender.views
+            for late in receiver.views
+        )
+
+    def _is_outage(self, since_s: float, until_s: float) -> bool:
+        return not any(since_s + CLOCK_SLACK_S < at_s < until_s - CLOCK_SLACK_S for at_s in self._append_times)
+
+    def _side(self, kind: MessageKind, own: str, peer: str) -> Side:
+        chain = self._book.chains.get(own)
+        if chain is None:
+            return Side(self._name(own, peer), [])
+        views = [
+            View(
+                record.at_s,
+                getattr(pair, kind.number),
+                tuple(getattr(pair, name) for name in kind.counts),
+                record.final,
+            )
+            for record in chain.records
+            for pair in record.pairs
+            if pair.peer == peer
+        ]
+        return Side(f"{chain.process} ({own})", views)
+
+    def _dropped(self, agent: str, entry: str) -> int:
+        chain = self._book.chains[agent]
+        return next((pair.dropped for pair in chain.last.pairs if pair.peer == entry), 0)
+
+    def _name(self, incarnation: str, peer: str) -> str:
+        chain = self._book.chains.get(peer)
+        pairs: abc.Sequence[pair_account.PairTotals] = chain.last.pairs if chain else ()
+        name = next((pair.peer_name for pair in pairs if pair.peer == incarnation), "")
+        return f"{name} ({incarnation})" if name else incarnation
+
+    def _note(
+        self,
+        kind: account_book.FindingKind,
+        side: Side,
+        peer: Side,
+        from_s: float | None,
+        to_s: float | None,
+        message: str,
+        explanation: str = "",
+    ) -> None:
+        self._findings.append(account_book.Finding(kind, side.name, peer.name, from_s, to_s, message, explanation))
--- /dev/null
+++ b/src/cactusgauge/accounting/pair_account.py
@@ -0,0 +1,76 @@
+"""One side's count of the task messages between an entry incarnation and an agent incarnation."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import wire
+
+NOT_RUN = "not_run"
+MICROSECONDS_PER_MILLISECOND = 1000
+
+
+class PairTotals(NamedTuple):
+    """Cumulative counts; `peer` is the other side's incarnation and `run_us` is in microseconds.
+
+    Both sides count a message when its sequence number makes it certain that it took effect: the receiver when it
+    handles it, the sender when it is acknowledged. So two records that show the same number show the same counts.
+    `dropped` counts outcomes that an agent gave up delivering to an entry that stayed away.
+    """
+
+    peer: str
+    peer_name: str
+    workspace: str
+    assign_number: int
+    starts: int
+    results_number: int
+    outcomes: int
+    refused: int
+    run_us: int
+    dropped: int
+
+
+class PairAccount:
+    """Counts of one pair at one side."""
+
+    __slots__ = ("assign_number", "dropped", "outcomes", "refused", "results_number", "run_us", "starts")
+
+    def __init__(self) -> None:
+        self.assign_number = 0
+        self.starts = 0
+        self.results_number = 0
+        self.outcomes = 0
+        self.refused = 0
+        self.run_us = 0
+        self.dropped = 0
+
+    def count_assign(self, number: int, starts: int) -> None:
+        """Count an assign message that took effect."""
+        self.assign_number = number
+        self.starts += starts
+
+    def count_results(self, number: int, outcomes: "abc.Sequence[wire.Outcome]") -> None:
+        """Count a results message that took effect."""
+        self.results_number = number
+        self.outcomes += len(outcomes)
+        for outcome in outcomes:
+            if outcome.state == NOT_RUN:
+                self.refused += 1
+            else:
+                self.run_us += round(outcome.run_ms * MICROSECONDS_PER_MILLISECOND)
+
+    def totals(self, peer: str, peer_name: str, workspace: str) -> PairTotals:
+        """Return the counts for a record."""
+        return PairTotals(
+            peer,
+            peer_name,
+            workspace,
+            self.assign_number,
+            self.starts,
+            self.results_number,
+            self.outcomes,
+            self.refused,
+            self.run_us,
+            self.dropped,
+        )
--- /dev/null
+++ b/src/cactusgauge/accounting/usage.py
@@ -0,0 +1,119 @@
+"""What each workspace consumed in a period."""
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from cactusgauge.accounting import account_book, account_record, pair_account
+
+MICROSECONDS_PER_SECOND = 1_000_000
+INFORMATIVE_ROWS = ("jobs_accepted", "tasks_accepted", "tasks_completed", "tasks_failed", "tasks_unknown")
+
+
+class WorkspaceUsage(NamedTuple):
+    """Consumption of one workspace; `unverified_starts` may belong to the time before the first retained record."""
+
+    workspace: str
+    starts: int = 0
+    refused: int = 0
+    slot_seconds: float = 0.0
+    task_messages: int = 0
+    messages: int = 0
+    wasted_messages: int = 0
+    bytes: int = 0
+    counts: dict[str, int] = {}  # noqa: RUF012  # never changed
+    unverified_starts: int = 0
+
+
+class Usage:
+    """Consumption of a period, from cumulative records of either side of each pair.
+
+    A record belongs to the time at which it was made. Differences of cumulative counts make consecutive periods add
+    up exactly, whatever was lost, repeated or late. Of the two sides of a pair the one with the higher message number
+    counts, so a killed process loses nothing that its counterpart recorded.
+    """
+
+    def __init__(self, book: "account_book.AccountBook", from_s: float = -math.inf, to_s: float = math.inf) -> None:
+        self._book = book
+        self._from_s = from_s
+        self._to_s = to_s
+
+    def by_workspace(self) -> dict[str, WorkspaceUsage]:
+        """Return the consumption of every workspace that appears in the period or before it."""
+        used: dict[str, WorkspaceUsage] = {}
+        for pairs in self._pairs().values():
+            self._add_pair(used, pairs)
+        for chain in self._book.chains.values():
+            self._add_rows(used, chain)
+        return dict(sorted(used.items()))
+
+    def _pairs(self) -> "dict[tuple[str, str], list[tuple[account_record.AccountRecord, pair_account.PairTotals]]]":
+        found: dict[tuple[str, str], list[tuple[account_record.AccountRecord, pair_account.PairTotals]]] = {}
+        for chain in self._book.chains.values():
+            for record in chain.records:
+                for pair in record.pairs:
+                    key = (chain.incarnation, pair.peer) if chain.role == "entry" else (pair.peer, chain.incarnation)
+                    found.setdefault(key, []).append((record, pair))
+        return found
+
+    def _add_pair(
+        self,
+        used: dict[str, WorkspaceUsage],
+        pairs: "list[tuple[account_record.AccountRecord, pair_account.PairTotals]]",
+    ) -> None:
+        before = [pair for record, pair in pairs if record.at_s < self._from_s]
+        until = [pair for record, pair in pairs if record.at_s < self._to_s]
+        if not until:
+            return
+        # Trimmed records leave the beginning unknown: then only what was counted since is certain.
+        is_open = not before and all(self._book.chains[record.incarnation].starts_late for record, _ in pairs)
+        base = before or ([min(until, key=lambda pair: pair.assign_number)] if is_open else [])
+        changes = {
+            name: self._highest(until, name, number) - self._highest(base, name, number)
+            for name, number in (
+                ("starts", "assign_number"),
+                ("assign_number", "assign_number"),
+                ("results_number", "results_number"),
+                ("refused", "results_number"),
+                ("run_us", "results_number"),
+            )
+        }
+        workspace = until[0].workspace
+        old = used.get(workspace, WorkspaceUsage(workspace))
+        used[workspace] = old._replace(
+            starts=old.starts + changes["starts"],
+            refused=old.refused + changes["refused"],
+            slot_seconds=old.slot_seconds + changes["run_us"] / MICROSECONDS_PER_SECOND,
+            task_messages=old.task_messages + changes["assign_number"] + changes["results_number"],
+            unverified_starts=old.unverified_starts
+            + (self._highest(base, "starts", "assign_number") if is_open else 0),
+        )
+
+    @staticmethod
+    def _highest(pairs: "list[pair_account.PairTotals]", name: str, number: str) -> int:
+        if not pairs:
+            return 0
+        return int(getattr(max(pairs, key=lambda pair: int(getattr(pair, number))), name))
+
+    def _add_rows(self, used: dict[str, WorkspaceUsage], chain: "account_book.Chain") -> None:
+        before = [record for record in chain.records if record.at_s < self._from_s]
+        until = [record for record in chain.records if record.at_s < self._to_s]
+        if not until:
+            return
+        is_open = not before and chain.starts_late
+        base = before[-1] if before else until[0] if is_open else None
+        old_values = {row[:3]: row.value for row in base.rows} if base else {}
+        for row in until[-1].rows:
+            if not row.workspace:
+                continue
+            change = round(row.value - old_values.get(row[:3], 0))
+            old = used.get(row.workspace, WorkspaceUsage(row.workspace))
+            if chain.role == "entry" and row.name in INFORMATIVE_ROWS:
+                counts = {**old.counts, row.name: old.counts.get(row.name, 0) + change}
+                used[row.workspace] = old._replace(counts=counts)
+            elif row.name == "messages_wasted":
+                used[row.workspace] = old._replace(wasted_messages=old.wasted_messages + change)
+            elif row.name == "messages_received":
+                used[row.workspace] = old._replace(messages=old.messages + change)
+            elif row.name == "bytes_received":
+                used[row.workspace] = old._replace(bytes=old.bytes + change)
--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from cactusgauge import exceptions, ids, wire
+from cactusgauge import accounting, exceptions, ids, wire
 
 MAX_SEALED_SESSIONS = 10_000
 UNSENT_RETENTION_S = 120.0
@@ -27,12 +27,18 @@
         self._is_sealed = False
         self._unlinked_since: float | None = None
         self._shown_credit = 0
+        self._account = accounting.PairAccount()
 
     @property
     def incarnation(self) -> ids.EntryIncarnation:
         """The entry incarnation."""
         return self._incarnation
 
+    @property
+    def account(self) -> accounting.PairAccount:
+        """The account with this entry incarnation."""
+        return self._account
+
     @property
     def link(self) -> "wire.Link | None":
         """The current link."""
@@ -77,13 +83,15 @@
         if assign.number != self._last_assign_number + 1:
             raise exceptions.ProtocolError(f"assign {assign.number} after {self._last_assign_number}")
         self._last_assign_number = assign.number
+        self._account.count_assign(assign.number, len(assign.starts))
         self.acknowledge(assign.result_ack)
         return True
 
     def acknowledge(self, result_number: int) -> None:
         """Forget the results that the entry received."""
         while self._unacknowledged and self._unacknowledged[0].number <= result_number:
-            self._unacknowledged.popleft()
+            results = self._unacknowledged.popleft()
+            self._account.count_results(results.number, results.outcomes)
 
     def add_outcome(self, outcome: wire.Outcome) -> None:
         """Keep an outcome for the next results message."""
@@ -123,5 +131,6 @@
         if self._unlinked_since is None:
             return
         if asyncio.get_running_loop().time() - self._unlinked_since > UNSENT_RETENTION_S:
+            self._account.dropped += len(self._pending) + sum(len(each.outcomes) for each in self._unacknowledged)
             self._pending.clear()
             self._unacknowledged.clear()
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from cactusgauge import configuration, exceptions, ids, jobs, wire
+from cactusgauge import accounting, configuration, exceptions, ids, jobs, wire
 from cactusgauge.dispatch import ordering, placement, remote_worker, speed_book
 
 if TYPE_CHECKING:
@@ -59,6 +59,8 @@
         self._heap_numbers = itertools.count()
         self._queued_count = 0
         self._speeds = speed_book.SpeedBook()
+        # Kept for agents that were replaced too, as accounts are cumulative.
+        self._accounts: dict[tuple[ids.AgentName, ids.AgentIncarnation], accounting.PairAccount] = {}
         self._dispatch_scheduled = False
         self.apply(config)
 
@@ -92,6 +94,12 @@
         """The jobs that are not finished."""
         return list(self._jobs.values())
 
+    def pair_totals(self) -> list[accounting.PairTotals]:
+        """Return the account with every agent incarnation."""
+        return [
+            account.totals(incarnation, name, self.workspace) for (name, incarnation), account in self._accounts.items()
+        ]
+
     def apply(self, config: "configuration.WorkspaceConfig") -> None:
         """Put a version of the workspace's configuration in force."""
         self._config = config
@@ -134,7 +142,8 @@
             return known
         if known is not None:
             self._abandon(known, jobs.Reason.AGENT_RESTARTED)
-        created = remote_worker.RemoteWorker(hello, hello.data_centre)
+        account = self._accounts.setdefault((hello.name, hello.incarnation), accounting.PairAccount())
+        created = remote_worker.RemoteWorker(hello, hello.data_centre, account)
         self._workers[hello.name] = created
         return created
 
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -3,7 +3,7 @@
 import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from cactusgauge import exceptions, ids, wire
+from cactusgauge import accounting, exceptions, ids, wire
 
 if TYPE_CHECKING:
     from collections import abc
@@ -28,7 +28,13 @@
     The object outlives its link: after a reconnect, `resume` tells which tasks provably never arrived.
     """
 
-    def __init__(self, hello: wire.AgentHello, data_centre: ids.DataCentreName) -> None:
+    def __init__(
+        self,
+        hello: wire.AgentHello,
+        data_centre: ids.DataCentreName,
+        account: accounting.PairAccount | None = None,
+    ) -> None:
+        self._account = account or accounting.PairAccount()
         self._name = hello.name
         self._incarnation = hello.incarnation
         self._slots = hello.slots
@@ -176,7 +182,8 @@
     def acknowledge(self, assign_ack: int) -> None:
         """Note that the agent received all assigns up to a number."""
         while self._unacknowledged and self._unacknowledged[0][0] <= assign_ack:
-            self._unacknowledged.popleft()
+            number, task_ids = self._unacknowledged.popleft()
+            self._account.count_assign(number, len(task_ids))
 
     def accept_results(self, results: wire.Results) -> bool:
         """Note a results message; return False for a repeated one."""
@@ -185,6 +192,7 @@
         if results.number != self._last_result_number + 1:
             raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
         self._last_result_number = results.number
+        self._account.count_results(results.number, results.outcomes)
         self.acknowledge(results.assign_ack)
         return True
 
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -46,6 +46,12 @@
     code = "log_unavailable"
 
 
+class AccountingError(CactusgaugeError):
+    """A record on the accounting stream is malformed."""
+
+    code = "bad_account_record"
+
+
 class RequestError(CactusgaugeError):
     """A caller's request is refused and, unless `ran` says otherwise, nothing of its job ran."""
 
--- a/tests/unit/test_operations_page.py
+++ b/tests/unit/test_operations_page.py
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 PAGE = (ROOT / "docs/operations.md").read_text()
-INTERNAL = {"internal", "protocol_error", "link_closed", "bad_settings", "log_unavailable"}
+INTERNAL = {"internal", "protocol_error", "link_closed", "bad_settings", "log_unavailable", "bad_account_record"}
 
 
 def _subclasses(kind: type[exceptions.CactusgaugeError]) -> abc.Iterator[type[exceptions.CactusgaugeError]]:
