Count a wasted message once, and only if nothing of it is of use

Cause: messages_wasted was raised for every late or refused outcome of a results message, so one batch counted several times, and a batch with one useful result counted as waste; an assign of which every start was refused was not counted. Ruled out: repeated messages, which were counted once already. Before: 1 for a message with one completed and one refused task. Late outcomes have their own counter, outcomes_late.

--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -79,12 +79,16 @@
             self._counters.add("messages_wasted", self._workspace, "repeated_assign")
             return
         self._gate.set_demand(ledger.incarnation, assign.demand)
+        refused = 0
         for start in assign.starts:
             reason = self._refusal(ledger, start)
             if reason is jobs.Reason.NONE:
                 self._begin(ledger, start, assign.number)
             else:
+                refused += 1
                 self._refuse(ledger, start, assign.number, reason)
+        if refused and refused == len(assign.starts):
+            self._counters.add("messages_wasted", self._workspace, "all_refused")
         self._schedule_flush()
 
     def set_demand(self, ledger: entry_ledger.EntryLedger, demand: int) -> None:
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -163,8 +163,9 @@
             self._counters.add("messages_wasted", self.workspace, "repeated_results")
             return
         worker.update_state(results.credit, worker.serving)
-        for outcome in results.outcomes:
-            self._take_outcome(worker, outcome)
+        useless = [self._take_outcome(worker, outcome) for outcome in results.outcomes]
+        if useless and all(useless):
+            self._counters.add("messages_wasted", self.workspace, useless[0])
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
@@ -256,16 +257,16 @@
             elif self._queued_count and not worker.shown_demand and not worker.free_slots:
                 worker.assign([], self._queued_count, now)
 
-    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> None:
+    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> str:
+        """Take in one outcome; return why it is of no use, or an empty string."""
         task_id = ids.TaskId(outcome.session, outcome.number, outcome.task)
         sent = worker.end(task_id)
         if sent is None or task_id.job not in self._jobs:
-            self._counters.add("messages_wasted", self.workspace, "late_result")
-            return
+            self._counters.add("outcomes_late", self.workspace, "")
+            return "late_result"
         now = asyncio.get_running_loop().time()
         state = jobs.TaskState(outcome.state)
         if state is jobs.TaskState.NOT_RUN and outcome.reason != jobs.Reason.SEALED.value:
-            self._counters.add("messages_wasted", self.workspace, outcome.reason)
             if outcome.reason in PAUSING_REASONS:
                 worker.pause(now)
             self._events.record(
@@ -277,7 +278,7 @@
                 reason=outcome.reason,
             )
             self._return_to_queue(task_id)
-            return
+            return outcome.reason
         job = self._jobs[task_id.job]
         if state is jobs.TaskState.COMPLETED:
             self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000)
@@ -285,6 +286,7 @@
         self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms, origin)
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
+        return ""
 
     def _return_to_queue(self, task_id: ids.TaskId) -> None:
         job = self._jobs.get(task_id.job)
