Add the usage and audit commands over exported records

usage prints consumption and the split of a shared cost by task messages, which the records of both sides confirm; audit recomputes a bill and names every discrepancy by process, pair and period.

--- a/src/cactusgauge/accounting/__init__.py
+++ b/src/cactusgauge/accounting/__init__.py
@@ -5,7 +5,9 @@
 from cactusgauge.accounting.account_record import STREAM, AccountRecord, CounterRow
 from cactusgauge.accounting.account_writer import DEFAULT_INTERVAL_S, AccountWriter, Snapshot
 from cactusgauge.accounting.audit import Audit
+from cactusgauge.accounting.bill import Bill, Period, make_bill
 from cactusgauge.accounting.cost_split import split_cost
+from cactusgauge.accounting.file_account_log import FileAccountLog
 from cactusgauge.accounting.pair_account import PairAccount, PairTotals
 from cactusgauge.accounting.usage import Usage, WorkspaceUsage
 
@@ -15,17 +17,21 @@
     "AccountRecord",
     "AccountWriter",
     "Audit",
+    "Bill",
     "Chain",
     "CounterRow",
     "DEFAULT_INTERVAL_S",
+    "FileAccountLog",
     "Finding",
     "FindingKind",
     "LogEntry",
     "PairAccount",
     "PairTotals",
+    "Period",
     "STREAM",
     "Snapshot",
     "Usage",
     "WorkspaceUsage",
+    "make_bill",
     "split_cost",
 ]
--- /dev/null
+++ b/src/cactusgauge/accounting/bill.py
@@ -0,0 +1,81 @@
+"""The bill of a period."""
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import pydantic
+
+from cactusgauge.accounting import cost_split, usage
+
+if TYPE_CHECKING:
+    from cactusgauge.accounting import account_book
+
+
+class BillLine(pydantic.BaseModel):
+    """What one workspace consumed and pays; messages and bytes are those received, by either side."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    workspace: str
+    starts: int
+    refused: int
+    slot_seconds: float
+    task_messages: int
+    messages: int
+    useful_messages: int
+    wasted_messages: int
+    bytes: int
+    counts: dict[str, int]
+    unverified_starts: int
+    cents: int
+
+
+class Bill(pydantic.BaseModel):
+    """Consumption of a period and the split of its shared cost; open ends are None.
+
+    The shared cost (entry VMs and their links) is split in proportion to the assign and results messages exchanged
+    with the agents of each workspace, because the records of both sides confirm exactly these. Heartbeats and messages
+    between entries follow the same proportion. Backend servers belong to their workspace and are not split.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    from_s: float | None
+    to_s: float | None
+    cents: int
+    lines: list[BillLine]
+
+    def differences(self, other: "Bill") -> list[str]:
+        """Return in words what differs from another bill of the same period."""
+        own = {line.workspace: line for line in self.lines}
+        theirs = {line.workspace: line for line in other.lines}
+        found = [f"workspace {name} is on one bill only" for name in sorted(own.keys() ^ theirs.keys())]
+        for name in sorted(own.keys() & theirs.keys()):
+            for field in BillLine.model_fields:
+                mine, yours = getattr(own[name], field), getattr(theirs[name], field)
+                if mine != yours:
+                    found.append(f"{name}: {field} is {yours} on the bill, {mine} from the log")
+        return found
+
+
+class Period(NamedTuple):
+    """From a Unix time on, and before another one."""
+
+    from_s: float = -math.inf
+    to_s: float = math.inf
+
+
+def make_bill(book: "account_book.AccountBook", period: Period, cents: int) -> Bill:
+    """Return the bill that the records give."""
+    used = usage.Usage(book, period.from_s, period.to_s).by_workspace()
+    shares = cost_split.split_cost(cents, {name: each.task_messages for name, each in used.items()})
+    lines = [
+        BillLine(
+            **each._replace(slot_seconds=round(each.slot_seconds, 6))._asdict(),
+            useful_messages=each.messages - each.wasted_messages,
+            cents=shares[name],
+        )
+        for name, each in used.items()
+    ]
+    from_s, to_s = (moment if math.isfinite(moment) else None for moment in period)
+    return Bill(from_s=from_s, to_s=to_s, cents=cents, lines=lines)
--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -1,15 +1,151 @@
 """Commands that show and verify consumption."""
 
+import asyncio
+import datetime
+import decimal
+import json
+import math
+import pathlib
+import sys
+
 import click
+import pydantic
+
+from cactusgauge import accounting, exceptions
+from cactusgauge.console import exit_codes, options, table
+
+CENTS = 100
+
+_records = click.option(
+    "--records",
+    "records_path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    required=True,
+    metavar="FILE",
+    help="Exported accounting stream.",
+)
+
+
+def _parse_cost(context: click.Context, parameter: click.Parameter, text: str) -> int:
+    try:
+        cents = decimal.Decimal(text) * CENTS
+    except decimal.InvalidOperation as error:
+        raise click.BadParameter(f"{text!r}: an amount such as 1250.00 is expected") from error
+    if not cents.is_finite() or cents < 0 or cents != int(cents):
+        raise click.BadParameter(f"{text!r}: an amount with at most two decimals is expected")
+    return int(cents)
 
 
 @click.command()
-def usage() -> None:
-    """Show what each workspace consumed."""
-    raise click.ClickException("not available in this version")
+@_records
+@options.since
+@options.until
+@click.option("--cost", "cents", default="0", callback=_parse_cost, metavar="AMOUNT", help="Shared cost to split.")
+@options.as_json
+def usage(records_path: pathlib.Path, since: float | None, until: float | None, cents: int, as_json: bool) -> None:
+    """Show what each workspace consumed in a period, and its share of the shared cost.
+
+    The shared cost is split in proportion to the task messages (assigns and results), which the records of both sides
+    confirm. `audit --bill` verifies what --json prints.
+    """
+    bill = accounting.make_bill(_read(records_path), _period(since, until), cents)
+    if as_json:
+        click.echo(bill.model_dump_json())
+    else:
+        _print_bill(bill)
 
 
 @click.command()
-def audit() -> None:
-    """Verify the accounting records on the log."""
-    raise click.ClickException("not available in this version")
+@_records
+@click.option(
+    "--bill",
+    "bill_path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    metavar="FILE",
+    help="Output of usage --json that is compared with the records.",
+)
+@options.as_json
+def audit(records_path: pathlib.Path, bill_path: pathlib.Path | None, as_json: bool) -> None:
+    """Verify the accounting records and, with --bill, a bill, from the log alone.
+
+    A violation is what no fault explains; an open finding may be the effect of one and has a bound. Exit code 0 means
+    that there are no violations, 1 that there are some.
+    """
+    book = _read(records_path)
+    findings = accounting.Audit(book).findings
+    differences = _compare_bill(book, bill_path) if bill_path is not None else []
+    violations = [finding for finding in findings if not finding.kind.is_open]
+    if as_json:
+        documents = [{**finding._asdict(), "kind": finding.kind.value} for finding in findings]
+        click.echo(json.dumps({"findings": documents, "bill_differences": differences}))
+    else:
+        _print_findings(book, findings, differences)
+    sys.exit(exit_codes.FAILED if violations or differences else exit_codes.COMPLETE)
+
+
+def _read(path: pathlib.Path) -> accounting.AccountBook:
+    try:
+        return asyncio.run(accounting.AccountBook.read(accounting.FileAccountLog(path)))
+    except exceptions.LogServiceError as error:
+        raise click.UsageError(str(error)) from error
+
+
+def _period(since: float | None, until: float | None) -> accounting.Period:
+    return accounting.Period(-math.inf if since is None else since, math.inf if until is None else until)
+
+
+def _compare_bill(book: accounting.AccountBook, path: pathlib.Path) -> list[str]:
+    try:
+        bill = accounting.Bill.model_validate_json(path.read_bytes())
+    except pydantic.ValidationError as error:
+        raise click.UsageError(f"{path} is not the output of usage --json") from error
+    return accounting.make_bill(book, _period(bill.from_s, bill.to_s), bill.cents).differences(bill)
+
+
+def _print_bill(bill: accounting.Bill) -> None:
+    headers = ("WORKSPACE", "STARTS", "NOT RUN", "SLOT SECONDS", "TASK MESSAGES", "MESSAGES", "WASTED", "KB", "COST")
+    rows = [
+        (
+            line.workspace,
+            line.starts,
+            line.refused,
+            f"{line.slot_seconds:.1f}",
+            line.task_messages,
+            line.messages,
+            line.wasted_messages,
+            round(line.bytes / 1000),
+            f"{line.cents / CENTS:.2f}",
+        )
+        for line in bill.lines
+    ]
+    click.echo(f"from {_moment(bill.from_s)} to {_moment(bill.to_s)}\n{table.format_table(headers, rows)}")
+    for line in bill.lines:
+        if line.unverified_starts:
+            click.echo(
+                f"{line.workspace}: up to {line.unverified_starts} starts more may belong to this period, "
+                "as the first records are not on the log"
+            )
+
+
+def _print_findings(book: accounting.AccountBook, findings: list[accounting.Finding], differences: list[str]) -> None:
+    for finding in sorted(findings, key=lambda each: each.kind.is_open):
+        label = "open" if finding.kind.is_open else "VIOLATION"
+        pair = f" with {finding.peer}" if finding.peer else ""
+        click.echo(f"{label} {finding.kind.value}: {finding.process or 'unknown process'}{pair}")
+        click.echo(f"  from {_moment(finding.from_s)} to {_moment(finding.to_s)}: {finding.message}")
+        if finding.explanation:
+            click.echo(f"  may be explained: {finding.explanation}")
+    for difference in differences:
+        click.echo(f"VIOLATION bill: {difference}")
+    records = sum(len(chain.records) for chain in book.chains.values())
+    open_count = sum(finding.kind.is_open for finding in findings)
+    violations = len(findings) - open_count + len(differences)
+    click.echo(
+        f"{records} records of {len(book.chains)} processes: {violations} violations, {open_count} open findings"
+    )
+
+
+def _moment(seconds: float | None) -> str:
+    if seconds is None:
+        return "-"
+    return datetime.datetime.fromtimestamp(seconds, datetime.UTC).isoformat(timespec="seconds")
--- a/src/cactusgauge/console/options.py
+++ b/src/cactusgauge/console/options.py
@@ -1,11 +1,29 @@
 """Options that several commands share."""
 
+import datetime
+import re
+import time
 import urllib.parse
 
 import click
 
 ENTRY_VARIABLE = "CACTUSGAUGE_ENTRY"
 WORKSPACE_VARIABLE = "CACTUSGAUGE_WORKSPACE"
+UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+def _parse_time(context: click.Context, parameter: click.Parameter, text: str | None) -> float | None:
+    if text is None:
+        return None
+    relative = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", text)
+    if relative:
+        return time.time() - float(relative[1]) * UNIT_SECONDS[relative[2]]
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError as error:
+        message = f"{text!r}: a time such as 2026-12-04T04:10:00 (UTC) or an age such as 90s, 10m, 2h is expected"
+        raise click.BadParameter(message) from error
+    return moment.replace(tzinfo=moment.tzinfo or datetime.UTC).timestamp()
 
 
 def _check_urls(context: click.Context, parameter: click.Parameter, urls: tuple[str, ...]) -> tuple[str, ...]:
@@ -30,4 +48,8 @@
 workspace = click.option(
     "--workspace", required=True, envvar=WORKSPACE_VARIABLE, show_envvar=True, metavar="NAME", help="Workspace."
 )
+since = click.option(
+    "--since", callback=_parse_time, metavar="TIME", help="Only from this time (ISO 8601) or age (10m) on."
+)
+until = click.option("--until", callback=_parse_time, metavar="TIME", help="Only before this time or age.")
 as_json = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/src/cactusgauge/console/timeline_command.py
+++ b/src/cactusgauge/console/timeline_command.py
@@ -1,11 +1,8 @@
 """The `timeline` command."""
 
 import asyncio
-import datetime
 import math
-import re
 import sys
-import time
 from typing import TYPE_CHECKING
 
 import click
@@ -20,21 +17,6 @@
 POLL_S = 0.5
 HOLD_S = 1.2  # two polls and a reply: by then the other end of every message was read as well
 REDISCOVER_S = 5.0
-UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
-
-
-def _parse_time(context: click.Context, parameter: click.Parameter, text: str | None) -> float | None:
-    if text is None:
-        return None
-    relative = re.fullmatch(r"(\d+(?:\.\d+)?)([smhd])", text)
-    if relative:
-        return time.time() - float(relative[1]) * UNIT_SECONDS[relative[2]]
-    try:
-        moment = datetime.datetime.fromisoformat(text)
-    except ValueError as error:
-        message = f"{text!r}: a time such as 2026-12-04T04:10:00 (UTC) or an age such as 90s, 10m, 2h is expected"
-        raise click.BadParameter(message) from error
-    return moment.replace(tzinfo=moment.tzinfo or datetime.UTC).timestamp()
 
 
 @click.command(name="timeline")
@@ -42,8 +24,8 @@
 @click.option("--job", default="", metavar="SESSION[/NUMBER]", help="Only this job, or all jobs of this session.")
 @click.option("--worker", default="", metavar="AGENT", help="Only events of and about this worker.")
 @click.option("--workspace", default="", metavar="NAME", help="Only this workspace.")
-@click.option("--since", callback=_parse_time, metavar="TIME", help="Only from this time (ISO 8601) or age (10m) on.")
-@click.option("--until", callback=_parse_time, metavar="TIME", help="Only up to this time or age.")
+@options.since
+@options.until
 @click.option("--follow", is_flag=True, help="Go on with new events until interrupted.")
 @click.option(
     "--format",
--- /dev/null
+++ b/tests/unit/console/test_account_commands.py
@@ -0,0 +1,69 @@
+import json
+import pathlib
+
+import pytest
+from click import testing
+
+from cactusgauge import accounting
+from cactusgauge.console import application, exit_codes
+from tests.unit.accounting import world as world_module
+
+
+def run(*arguments: str) -> testing.Result:
+    return testing.CliRunner().invoke(application.main, arguments)
+
+
+@pytest.fixture
+async def world(monkeypatch: pytest.MonkeyPatch) -> world_module.World:
+    world = world_module.World(monkeypatch)
+    for _ in range(4):
+        world.run_tasks(5)
+        await world.append()
+    await world.stop()
+    return world
+
+
+def export(world: world_module.World, path: pathlib.Path) -> str:
+    path.write_bytes(b"".join(map(accounting.FileAccountLog.format_line, world.log.entries)))
+    return str(path)
+
+
+def test_bill_is_verified_from_the_records_alone(world: world_module.World, tmp_path: pathlib.Path) -> None:
+    """Guards against a bill that the other owner cannot recompute, and against a changed bill passing."""
+    records = export(world, tmp_path / "records")
+    billed = run("usage", "--records", records, "--cost", "12.34", "--json")
+    bill = json.loads(billed.stdout)
+    assert [(line["workspace"], line["starts"], line["cents"]) for line in bill["lines"]] == [("cheese", 20, 1234)]
+    path = tmp_path / "bill.json"
+    path.write_text(billed.stdout)
+    assert run("audit", "--records", records, "--bill", str(path)).exit_code == exit_codes.COMPLETE
+    bill["lines"][0]["starts"] = 21
+    path.write_text(json.dumps(bill))
+    changed = run("audit", "--records", records, "--bill", str(path))
+    assert changed.exit_code == exit_codes.FAILED
+    assert "cheese: starts is 21 on the bill, 20 from the log" in changed.stdout
+
+
+def test_audit_names_process_pair_and_period(world: world_module.World, tmp_path: pathlib.Path) -> None:
+    """Guards against an audit whose findings nobody can follow up."""
+    world.log.edit("agent", 2, at_s=5.0)
+    result = run("audit", "--records", export(world, tmp_path / "records"))
+    assert result.exit_code == exit_codes.FAILED
+    assert "VIOLATION edited: agent (agent-incarnation)" in result.stdout
+    assert "1 violations, 0 open findings" in result.stdout
+
+
+@pytest.mark.parametrize("cost", ["x", "-1", "1.001", "NaN"])
+def test_cost_must_be_an_amount(world: world_module.World, tmp_path: pathlib.Path, cost: str) -> None:
+    """Guards against a bill over a mistyped amount."""
+    result = run("usage", "--records", export(world, tmp_path / "records"), "--cost", cost)
+    assert result.exit_code == exit_codes.USAGE
+
+
+def test_file_that_is_no_export_is_a_usage_error(tmp_path: pathlib.Path) -> None:
+    """Guards against a traceback, or an audit without findings, for the wrong file."""
+    path = tmp_path / "records"
+    path.write_text("not an export\n")
+    result = run("audit", "--records", str(path))
+    assert result.exit_code == exit_codes.USAGE
+    assert "is no exported accounting stream" in result.stderr
