--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -58,6 +58,12 @@
     code = "log_gap"
 
 
+class AccountingError(CactusgaugeError):
+    """A record on the accounting stream is malformed."""
+
+    code = "bad_account_record"
+
+
 class RequestError(CactusgaugeError):
     """A caller's request is refused; nothing of it ran unless `ran` says otherwise."""
 
