Test jobs whose owner is killed, paused or cut off

Adds emulator.network: TCP links that a test blocks per direction or resets, with the client told apart by its process. Entries get advertised URLs, so that other processes can reach them through such a link. Ports come from below the range of outgoing connections: one of three runs failed with 'address already in use', because a connection took the probed port before the entry listened.

--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -16,6 +16,12 @@
     return host
 
 
+def _check_http_url(url: str) -> str:
+    if not url.startswith("http://"):
+        raise ValueError("a URL of the form http://IP:PORT is expected")
+    return url
+
+
 def _check_link_url(url: str) -> str:
     if not url.startswith("ws://"):
         raise ValueError("a URL of the form ws://IP:PORT is expected")
@@ -23,6 +29,7 @@
 
 
 Host = Annotated[str, pydantic.AfterValidator(_check_host)]
+HttpUrl = Annotated[str, pydantic.AfterValidator(_check_http_url)]
 LinkUrl = Annotated[str, pydantic.AfterValidator(_check_link_url)]
 Port = Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
 
@@ -46,18 +53,28 @@
 
 
 class EntrySettings(DaemonSettings):
-    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing."""
+    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing.
+
+    The advertised URLs are needed where other processes reach the entry under another address than it binds.
+    """
 
     role: Literal["entry"]
     link_port: Port
     workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
     size: float = pydantic.Field(default=1.0, gt=0)
     log_url: str | None = None
+    advertised_http_url: HttpUrl | None = None
+    advertised_link_url: LinkUrl | None = None
+
+    @property
+    def http_url(self) -> str:
+        """URL under which other processes reach this one's HTTP interface."""
+        return self.advertised_http_url or super().http_url
 
     @property
     def link_url(self) -> str:
         """URL under which agents and other entries open links."""
-        return f"ws://{self.host}:{self.link_port}"
+        return self.advertised_link_url or f"ws://{self.host}:{self.link_port}"
 
 
 class AgentSettings(DaemonSettings):
--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -1,14 +1,19 @@
-"""A backend server: runs tasks by sleeping, announces itself to its agent and counts what it saw.
+"""A backend server: runs tasks by sleeping, announces itself to its agent and records what it saw.
 
 Payload of a task: a JSON object such as `{"run_ms": 50, "result": "ok"}`; `run_ms` is the time on a server of speed 1.
+The journal outlives the process; it has one JSON line for each start, each end and each change of the announcements,
+with the time of the system-wide monotonic clock in seconds.
 """
 
 import asyncio
 import collections
 import contextlib
+import enum
 import json
+import os
 import random
 import signal
+import time
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -20,6 +25,8 @@
 
 RENEW_S = 0.5
 MILLISECONDS_PER_SECOND = 1000
+DROP_HEADER = "Emulator-Drop"
+DROPPED_LENGTH = "1000"  # more than is sent, so that the client sees a broken answer
 
 
 class Faults(NamedTuple):
@@ -31,10 +38,20 @@
     straggle: float = 0.0
 
 
+class Announcing(enum.Enum):
+    """What the server tells its agent: it renews its lease, it left, or it says nothing."""
+
+    RENEW = "renew"
+    LEAVE = "leave"
+    SILENT = "silent"
+
+
 class BackendServer:
     """Runs tasks and records every start by task id."""
 
-    def __init__(self, name: str, speed: float, slots: int, seed: int, faults: Faults) -> None:
+    def __init__(
+        self, name: str, speed: float, slots: int, seed: int, faults: Faults, journal: str | None = None
+    ) -> None:
         self._name = name
         self._speed = speed
         self._slots = slots
@@ -44,10 +61,15 @@
         self._ended: dict[str, str] = {}
         self._running = 0
         self._max_running = 0
-        self._left_at: float | None = None
-        self._late_starts = 0
+        self._journal = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600) if journal else None
+        self._announcing = Announcing.RENEW
         self.lease = ""
 
+    @property
+    def announcing(self) -> Announcing:
+        """What the server is to tell its agent."""
+        return self._announcing
+
     def report(self) -> dict[str, Any]:
         """Return what the server saw: all starts by task id, and the most tasks that ran at once."""
         return {
@@ -59,18 +81,26 @@
             "slots": self._slots,
         }
 
+    def write_journal(self, event: str, task: str = "") -> None:
+        """Append a line to the journal, unbuffered, so that a killed server loses none."""
+        if self._journal is not None:
+            line = json.dumps({"event": event, "task": task, "at": time.monotonic(), "running": self._running})
+            os.write(self._journal, f"{line}\n".encode())
+
     async def on_post(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Run one task."""
         task_id = request.get_header(task_runner.TASK_HEADER, required=True)
         body = await request.stream.read()
         stale = bool(self.lease) and request.get_header(task_runner.LEASE_HEADER) != self.lease
         if stale or self._random.random() < self._faults.refuse:
+            self.write_journal("refused", task_id)
             response.status = task_runner.PRECONDITION_FAILED
             response.set_header(task_runner.NOT_RUN_HEADER, "1")
             return
         self._starts[task_id] += 1
         self._running += 1
         self._max_running = max(self._max_running, self._running)
+        self.write_journal("start", task_id)
         try:
             await self._run(task_id, body, response)
         finally:
@@ -80,6 +110,13 @@
         """Answer with the report."""
         response.media = self.report()
 
+    async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        """Change the faults and the announcements."""
+        change = await request.get_media()
+        self._faults = Faults(**change.get("faults", {}))
+        self._announcing = Announcing(change.get("announcing", "renew"))
+        response.media = change
+
     async def _run(self, task_id: str, body: bytes, response: falcon.asgi.Response) -> None:
         work = json.loads(body) if body else {}
         run_s = work.get("run_ms", 0) / MILLISECONDS_PER_SECOND / self._speed
@@ -89,37 +126,70 @@
         if not failing:
             await asyncio.sleep(run_s)
         self._ended[task_id] = "failed" if failing else "completed"
-        if self._random.random() < self._faults.drop:
-            raise ConnectionAbortedError("dropped answer")
+        self.write_journal("end", task_id)
         response.status = 500 if failing else 200
         response.text = work.get("result", "ok")
+        if self._random.random() < self._faults.drop:
+            response.set_header(DROP_HEADER, "1")
+
+
+class DroppingApp(falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]):
+    """Breaks off the answers that are marked with DROP_HEADER; the HTTP server then closes the connection."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:  # type: ignore[override]
+        """Serve one request."""
+        dropping = False
+
+        async def send_or_drop(message: Any) -> None:
+            nonlocal dropping
+            if dropping:
+                raise ConnectionAbortedError("dropped answer")
+            if any(name == DROP_HEADER.lower().encode() for name, _ in message.get("headers", [])):
+                dropping = True
+                message = {**message, "headers": [(b"content-length", DROPPED_LENGTH.encode())]}
+            await send(message)
+
+        await super().__call__(scope, receive, send_or_drop)
 
 
 async def _announce(server: BackendServer, name: str, url: str, agent_url: str) -> None:
     announce_url = f"{agent_url}{backend_server_resource.BACKEND_SERVER_PATH}"
-    async with aiohttp.ClientSession() as session:
+    shown = Announcing.RENEW
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
         try:
             while True:
+                if server.announcing is not shown:
+                    shown = server.announcing
+                    server.write_journal(shown.value)
+                    if shown is Announcing.LEAVE:
+                        await _leave(server, session, announce_url)
                 body = {"name": name, "url": url, "lease": server.lease or None}
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    timeout = aiohttp.ClientTimeout(total=1)
-                    async with session.put(announce_url, json=body, timeout=timeout) as response:
-                        server.lease = (await response.json())["lease"]
+                if shown is Announcing.RENEW:
+                    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                        async with session.put(announce_url, json=body) as response:
+                            server.lease = (await response.json())["lease"]
                 await asyncio.sleep(RENEW_S)
         finally:
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                await session.delete(announce_url, params={"lease": server.lease})
+            await _leave(server, session, announce_url)
+
 
+async def _leave(server: BackendServer, session: aiohttp.ClientSession, announce_url: str) -> None:
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        await session.delete(announce_url, params={"lease": server.lease})
 
-async def _serve(server: BackendServer, name: str, host: str, port: int, agent_url: str) -> None:
-    app = falcon.asgi.App()
+
+async def _serve(
+    server: BackendServer, name: str, host: str, port: int, announced_port: int | None, agent_url: str
+) -> None:
+    app = DroppingApp()
     app.add_route("/task", server)
     app.add_route("/report", server)
     listener = http_server.HttpServer(app, host, port)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     serving = asyncio.create_task(listener.run_until_stopped())
-    announcing = asyncio.create_task(_announce(server, name, f"http://{host}:{port}/task", agent_url))
+    task_url = f"http://{host}:{announced_port or port}/task"
+    announcing = asyncio.create_task(_announce(server, name, task_url, agent_url))
     await stop.wait()
     announcing.cancel()
     await asyncio.gather(announcing, return_exceptions=True)
@@ -133,10 +203,12 @@
 @click.option("--name", required=True)
 @click.option("--host", default="127.0.0.1", show_default=True)
 @click.option("--port", type=int, required=True)
+@click.option("--announced-port", type=int, help="Port that the agent is told, if it is another one.")
 @click.option("--agent-url", required=True, help="HTTP URL of the agent beside this server.")
 @click.option("--speed", type=float, default=1.0, show_default=True, help="Run times are divided by this.")
 @click.option("--slots", type=int, default=8, show_default=True, help="Limit that the report is compared with.")
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--journal", help="File that records starts, ends and changes of the announcements.")
 @click.option("--fail", type=float, default=0.0, help="Probability that a task fails at once.")
 @click.option("--drop", type=float, default=0.0, help="Probability that the answer is dropped after the run.")
 @click.option("--refuse", type=float, default=0.0, help="Probability that a start is refused as not run.")
@@ -145,18 +217,20 @@
     name: str,
     host: str,
     port: int,
+    announced_port: int | None,
     agent_url: str,
     speed: float,
     slots: int,
     seed: int,
+    journal: str | None,
     fail: float,
     drop: float,
     refuse: float,
     straggle: float,
 ) -> None:
     """Run a backend server stand-in."""
-    server = BackendServer(name, speed, slots, seed, Faults(fail, drop, refuse, straggle))
-    asyncio.run(_serve(server, name, host, port, agent_url))
+    server = BackendServer(name, speed, slots, seed, Faults(fail, drop, refuse, straggle), journal)
+    asyncio.run(_serve(server, name, host, port, announced_port, agent_url))
 
 
 if __name__ == "__main__":
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -1,6 +1,8 @@
 """Starts a small set of real processes on loopback, for the demo, tests and measurements."""
 
+import collections
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -15,18 +17,29 @@
 
 import yaml
 
+from emulator import network
+
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
 
+# Below the range from which the kernel takes the ports of outgoing connections: such a connection of another process
+# could otherwise take a port between the probe and the start of the process that is to listen there.
+PORTS = range(10_000, 32_000)
+_candidates = itertools.cycle(PORTS)
+_offset = os.getpid() * 97 % len(PORTS)  # parallel runs begin at different ports
+
+
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a TCP port that is free now and was not returned lately."""
+    for candidate in _candidates:
+        port = PORTS[(candidate - PORTS.start + _offset) % len(PORTS)]
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+    raise RuntimeError("no free port")
 
 
 class ProcessHandle(NamedTuple):
@@ -35,14 +48,20 @@
     name: str
     process: "subprocess.Popen[bytes]"
     http_url: str
+    command: list[str]
 
 
 class Cluster:
-    """Processes of one test; all are ended on exit, by their process ids."""
+    """Processes of one test; all are ended on exit, by their process ids.
+
+    With `networked`, entries and backend servers are reached by the other processes through `network`.
+    """
 
-    def __init__(self, directory: pathlib.Path, workspace: str = "cheese") -> None:
+    def __init__(self, directory: pathlib.Path, workspace: str = "cheese", networked: bool = False) -> None:
         self._directory = directory
         self._workspace = workspace
+        self._networked = networked
+        self._network = network.Network(self._pids)
         self._handles: dict[str, ProcessHandle] = {}
         self._link_urls: dict[str, str] = {}
 
@@ -51,7 +70,13 @@
         """The workspace that the agents belong to."""
         return self._workspace
 
+    @property
+    def network(self) -> network.Network:
+        """The links between the processes."""
+        return self._network
+
     def __enter__(self) -> Self:
+        self._network.__enter__()
         return self
 
     def __exit__(self, *exception: object) -> None:
@@ -61,6 +86,7 @@
                 handle.process.kill()
         for handle in self._handles.values():
             handle.process.wait()
+        self._network.__exit__()
 
     def __getitem__(self, name: str) -> ProcessHandle:
         return self._handles[name]
@@ -78,9 +104,12 @@
             "seeds": list(self._link_urls.values()),
             "workspaces": [self._workspace],
             "drain_notice_s": 0.3,
-            **overrides,
         }
-        self._link_urls[name] = f"ws://{HOST}:{link_port}"
+        self._link_urls[name] = f"ws://{HOST}:{self._reached_port(name, link_port)}"
+        if self._networked:
+            document["advertised_link_url"] = self._link_urls[name]
+            document["advertised_http_url"] = f"http://{HOST}:{self._reached_port(name, http_port)}"
+        document.update(overrides)
         return self._start_daemon(name, document)
 
     def start_agent(self, name: str, **overrides: Any) -> ProcessHandle:
@@ -100,8 +129,9 @@
     def start_backend_server(self, name: str, agent: str, *options: str) -> ProcessHandle:
         """Start a backend server stand-in beside an agent."""
         port = free_port()
-        arguments = ["--name", name, "--port", str(port), "--agent-url", self._handles[agent].http_url, *options]
-        command = [sys.executable, "-m", "emulator.backend_server", *arguments]
+        arguments = ["--name", name, "--port", str(port), "--agent-url", self._handles[agent].http_url]
+        arguments += ["--announced-port", str(self._reached_port(name, port)), "--journal", str(self._journal(name))]
+        command = [sys.executable, "-m", "emulator.backend_server", *arguments, *options]
         return self._start(name, command, f"http://{HOST}:{port}")
 
     def start_worker(self, number: int, *options: str, **overrides: Any) -> None:
@@ -109,6 +139,11 @@
         self.start_agent(f"agent-{number}", **overrides)
         self.start_backend_server(f"server-{number}", f"agent-{number}", *options)
 
+    def restart(self, name: str) -> ProcessHandle:
+        """Start a process that ended again, with the same command."""
+        ended = self._handles[name]
+        return self._start(name, ended.command, ended.http_url)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process."""
         self._handles[name].process.send_signal(number)
@@ -161,13 +196,37 @@
         running = [name for name in names if self._handles[name].process.poll() is None]
         return [self.get_json(name, "/report") for name in running]
 
-    def starts(self) -> dict[str, int]:
-        """Return how often each task was started, over all backend servers that run."""
-        starts: dict[str, int] = {}
-        for report in self.server_reports():
-            for task_id, count in report["starts"].items():
-                starts[task_id] = starts.get(task_id, 0) + count
-        return starts
+    def control(self, server: str, announcing: str = "renew", **faults: float) -> None:
+        """Set what a backend server tells its agent and which faults it causes."""
+        body = json.dumps({"announcing": announcing, "faults": faults}).encode()
+        url = f"{self._handles[server].http_url}/report"
+        with urllib.request.urlopen(urllib.request.Request(url, method="PUT", data=body), timeout=5):
+            pass
+
+    def counter(self, name: str, counter: str) -> float:
+        """Return the sum of a counter of a process over its workspaces and labels."""
+        rows = self.get_json(name, "/v1/status")["counters"]
+        return float(sum(row[-1] for row in rows if row[0] == counter))
+
+    def journal(self, server: str) -> list[dict[str, Any]]:
+        """Return what a backend server recorded, even if it was killed."""
+        path = self._journal(server)
+        return [json.loads(line) for line in path.read_text().splitlines()] if path.exists() else []
+
+    def starts(self, prefix: str = "") -> dict[str, int]:
+        """Return how often each task whose id begins with `prefix` was started, over all backend servers."""
+        events = [event for path in self._directory.glob("*.journal") for event in self.journal(path.stem)]
+        started = [event["task"] for event in events if event["event"] == "start"]
+        return collections.Counter(task for task in started if task.startswith(prefix))
+
+    def _pids(self) -> dict[int, str]:
+        return {handle.process.pid: name for name, handle in self._handles.items()}
+
+    def _journal(self, server: str) -> pathlib.Path:
+        return self._directory / f"{server}.journal"
+
+    def _reached_port(self, name: str, port: int) -> int:
+        return self._network.listen(name, port) if self._networked else port
 
     def _start_daemon(self, name: str, document: dict[str, Any]) -> ProcessHandle:
         path = self._directory / f"{name}.yaml"
@@ -179,6 +238,6 @@
         log = (self._directory / f"{name}.log").open("ab")
         with log:
             process = subprocess.Popen(command, stdout=log, stderr=log, env={**os.environ, "PYTHONHASHSEED": "0"})
-        handle = ProcessHandle(name, process, http_url)
+        handle = ProcessHandle(name, process, http_url, command)
         self._handles[name] = handle
         return handle
--- /dev/null
+++ b/src/emulator/network.py
@@ -0,0 +1,164 @@
+"""TCP links on loopback that a test can block in one or both directions, or reset."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import threading
+from typing import TYPE_CHECKING, NamedTuple, Self
+
+if TYPE_CHECKING:
+    from collections import abc
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65536
+CALL_TIMEOUT_S = 10.0
+OTHER_CLIENT = "caller"
+
+
+class Connection(NamedTuple):
+    """One passed-on connection; `writers` leads to the client and to the server."""
+
+    client: str
+    server: str
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+
+
+class Network:
+    """Listens in front of processes and passes bytes on while the direction is open.
+
+    A blocked direction holds bytes, new connections and ends of connections back until it is opened again, as a
+    network partition does to TCP. The loop runs in a thread, so that tests with blocking callers can use it.
+    """
+
+    def __init__(self, pids: "abc.Callable[[], dict[int, str]]") -> None:
+        self._pids = pids
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._blocked: set[tuple[str, str]] = set()
+        self._opened = asyncio.Event()
+        self._connections: set[Connection] = set()
+        self._listeners: list[asyncio.Server] = []
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._call(self._cancel_all())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(CALL_TIMEOUT_S)
+        self._loop.close()
+
+    def listen(self, server: str, target_port: int) -> int:
+        """Return a port that leads to a port of the process `server`."""
+        return self._call(self._listen(server, target_port))
+
+    def block(self, sender: str, receiver: str) -> None:
+        """Hold everything back that `sender` sends to `receiver`."""
+        self._loop.call_soon_threadsafe(self._blocked.add, (sender, receiver))
+
+    def cut(self, one: str, *others: str) -> None:
+        """Block both directions between a process and each of the others."""
+        for other in others:
+            self.block(one, other)
+            self.block(other, one)
+
+    def heal(self) -> None:
+        """Open all directions."""
+        self._loop.call_soon_threadsafe(self._heal)
+
+    def reset(self, one: str, other: str) -> int:
+        """Abort all connections between two processes and return how many there were."""
+        return self._call(self._reset({one, other}))
+
+    def _call(self, work: "abc.Coroutine[object, object, int]") -> int:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_S)
+
+    async def _cancel_all(self) -> int:
+        for listener in self._listeners:
+            listener.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return len(tasks)
+
+    def _heal(self) -> None:
+        self._blocked.clear()
+        self._opened.set()
+        self._opened = asyncio.Event()
+
+    async def _reset(self, ends: set[str]) -> int:
+        chosen = [each for each in self._connections if {each.client, each.server} == ends]
+        for connection in chosen:
+            for writer in connection.writers:
+                writer.transport.abort()
+        return len(chosen)
+
+    async def _listen(self, server: str, target_port: int) -> int:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError):
+                await self._serve(server, target_port, reader, writer)
+            writer.transport.abort()
+
+        listener = await asyncio.start_server(serve, HOST, 0)
+        self._listeners.append(listener)
+        port: int = listener.sockets[0].getsockname()[1]
+        return port
+
+    async def _serve(
+        self, server: str, target_port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        client = self._client_name(writer)
+        await self._wait_open(client, server)
+        if reader.at_eof():
+            return
+        target_reader, target_writer = await asyncio.open_connection(HOST, target_port)
+        connection = Connection(client, server, (writer, target_writer))
+        self._connections.add(connection)
+        try:
+            await asyncio.gather(
+                self._pass_on(reader, target_writer, client, server),
+                self._pass_on(target_reader, writer, server, client),
+            )
+        finally:
+            self._connections.discard(connection)
+            target_writer.transport.abort()
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str, receiver: str
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await self._wait_open(sender, receiver)
+                writer.write(data)
+                await writer.drain()
+        await self._wait_open(sender, receiver)
+        writer.close()
+
+    async def _wait_open(self, sender: str, receiver: str) -> None:
+        while (sender, receiver) in self._blocked:
+            await self._opened.wait()
+
+    def _client_name(self, writer: asyncio.StreamWriter) -> str:
+        """Return which process opened a connection, by the kernel's table of sockets."""
+        local, remote = (self._hex_address(writer.get_extra_info(name)[1]) for name in ("peername", "sockname"))
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1] == local and fields[2] == remote:
+                return self._owner(f"socket:[{fields[9]}]")
+        return OTHER_CLIENT
+
+    def _owner(self, link: str) -> str:
+        for pid, name in self._pids().items():
+            with contextlib.suppress(OSError):
+                for descriptor in os.scandir(f"/proc/{pid}/fd"):
+                    with contextlib.suppress(OSError):
+                        if os.readlink(descriptor.path) == link:
+                            return name
+        return OTHER_CLIENT
+
+    @staticmethod
+    def _hex_address(port: int) -> str:
+        return f"0100007F:{port:04X}"
--- a/tests/system/caller.py
+++ b/tests/system/caller.py
@@ -1,5 +1,6 @@
 """A caller that talks plain HTTP to entries and never repeats a request by itself."""
 
+import http.client
 import json
 import urllib.error
 import urllib.request
@@ -48,7 +49,7 @@
                 return Response(response.status, json.load(response))
         except urllib.error.HTTPError as error:
             return Response(error.code, json.load(error))
-        except OSError as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             return Response(0, {"code": "no_reply", "message": str(error)})
 
 
--- /dev/null
+++ b/tests/system/checks.py
@@ -0,0 +1,53 @@
+"""Compares answers with what the backend servers recorded."""
+
+import collections
+import json
+from typing import TYPE_CHECKING
+
+from tests.system import caller
+
+if TYPE_CHECKING:
+    from emulator import cluster
+
+
+def check_answer(
+    processes: "cluster.Cluster", response: caller.Response, session: str, number: int, count: int, tag: str = "r"
+) -> dict[str, int]:
+    """Check that an answer is whole, the caller's own and truthful; return how many tasks ended in each state."""
+    body = response.body
+    assert response.status == 200, response
+    assert (body["session"], body["job"]) == (session, number)
+    assert [task["index"] for task in body["tasks"]] == list(range(count))
+    states = [task["state"] for task in body["tasks"]]
+    assert (body["state"] == "complete") == (set(states) == {"completed"}), body
+    starts = processes.starts(f"{session}/{number}/")
+    for task in body["tasks"]:
+        started = starts.get(f"{session}/{number}/{task['index']}", 0)
+        assert started in {"completed": {1}, "failed": {1}, "not_run": {0}, "unknown": {0, 1}}[task["state"]], task
+        if task["state"] == "completed":
+            assert task["result"] == f"{tag}{task['index']}"
+    return dict(collections.Counter(states))
+
+
+def check_nothing_ran(processes: "cluster.Cluster", session: str, number: int) -> None:
+    """Check that no task of a job was started."""
+    assert not processes.starts(f"{session}/{number}/")
+
+
+def check_started_once(processes: "cluster.Cluster") -> None:
+    """Check that no task of any job was started twice."""
+    repeated = {task: count for task, count in processes.starts().items() if count > 1}
+    assert not repeated, json.dumps(repeated)
+
+
+def check_no_start_after(processes: "cluster.Cluster", server: str, since: float, bound_s: float = 3.0) -> None:
+    """Check that a backend server was given no start later than `bound_s` after the monotonic time `since`."""
+    late = [event["at"] - since for event in processes.journal(server) if event["event"] in ("start", "refused")]
+    assert not [each for each in late if each > bound_s], f"starts {max(late):.3f} s after the server left"
+
+
+def wait_started(processes: "cluster.Cluster", session: str, number: int, count: int = 1) -> None:
+    """Wait until a number of tasks of a job were started."""
+    processes.wait_until(
+        lambda: len(processes.starts(f"{session}/{number}/")) >= count, f"{count} tasks of {session}/{number} started"
+    )
