Refuse job numbers of more than 4300 digits as bad_request

Cause: int() raises ValueError for such texts, which the resource did not catch. Ruled out: a limit of the HTTP server; a URL of 5 KB reaches the resource. Before: status 500 without a code; after: 400 bad_request, nothing ran. Conclusion: the length is checked before the conversion.

--- a/src/cactusgauge/entry/jobs_resource.py
+++ b/src/cactusgauge/entry/jobs_resource.py
@@ -12,6 +12,7 @@
 
 MAX_WAIT_S = 60.0
 MAX_JOB_NUMBER = 2**53 - 1  # the largest integer that every JSON reader keeps exactly
+MAX_NUMBER_DIGITS = 16  # int() raises ValueError for texts of more than 4300 digits
 SESSIONS_PATH = "/v1/workspaces/{workspace}/sessions"
 JOB_PATH = "/v1/workspaces/{workspace}/sessions/{session}/jobs/{number}"
 
@@ -102,7 +103,8 @@
 
     @staticmethod
     def _number(text: str) -> int:
-        if not text.isascii() or not text.isdecimal() or int(text) > MAX_JOB_NUMBER:
+        is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
+        if not is_number or int(text) > MAX_JOB_NUMBER:
             raise exceptions.RequestError(
                 f"job number {text[:20]!r}: an integer from 0 to {MAX_JOB_NUMBER} is expected"
             )
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -56,6 +56,7 @@
     "number is a word": ("one", "", BODY, 400, "bad_request"),
     "negative number": ("-1", "", BODY, 400, "bad_request"),
     "number over 2^53 - 1": (str(2**53), "", BODY, 400, "bad_request"),
+    "number of 5000 digits": ("9" * 5000, "", BODY, 400, "bad_request"),
     "number in other digits": ("%D9%A1", "", BODY, 400, "bad_request"),
     "wait is a word": ("1", "?wait=soon", BODY, 400, "bad_request"),
     "negative wait": ("1", "?wait=-1", BODY, 400, "bad_request"),
