Refuse session ids of another form as bad_request

Cause: any text was taken for a session of an entry out of reach, so that its job was recovered: each request asked all peers and sealed a session at all agents, which keep a ledger per owner as long as they run. Ruled out: a start; recovery starts nothing. Before: 200 with every task unknown, one ledger more in each agent; after: 400 bad_request, nothing is asked. Not covered: an id of the right form with an invented owner, which may be a real one.

--- a/src/cactusgauge/entry/jobs_resource.py
+++ b/src/cactusgauge/entry/jobs_resource.py
@@ -1,5 +1,6 @@
 """HTTP resources of callers."""
 
+import re
 from typing import TYPE_CHECKING
 
 from cactusgauge import exceptions, ids
@@ -11,6 +12,7 @@
     from cactusgauge.entry import request_router
 
 MAX_WAIT_S = 60.0
+SESSION_PATTERN = re.compile(r"[0-9a-f]{16}-[0-9a-f]{16}")
 MAX_JOB_NUMBER = 2**53 - 1  # the largest integer that every JSON reader keeps exactly
 MAX_NUMBER_DIGITS = 16  # int() raises ValueError for texts of more than 4300 digits
 SESSIONS_PATH = "/v1/workspaces/{workspace}/sessions"
@@ -82,7 +84,7 @@
         number: str,
     ) -> None:
         try:
-            job_id = ids.JobId(ids.SessionId(session), self._number(number))
+            job_id = ids.JobId(self._session(session), self._number(number))
             body = await self._body(request) if method is caller_request.Method.SUBMIT else b""
             reply = await self._router.handle(
                 caller_request.CallerRequest(
@@ -101,6 +103,12 @@
                 raise exceptions.BodyTooLargeError(f"the body exceeds {self._max_body_bytes} bytes")
         return body
 
+    @staticmethod
+    def _session(text: str) -> ids.SessionId:
+        if not SESSION_PATTERN.fullmatch(text):
+            raise exceptions.RequestError(f"session {text[:40]!r} is not an id that an entry gives")
+        return ids.SessionId(text)
+
     @staticmethod
     def _number(text: str) -> int:
         is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -91,6 +91,9 @@
     assert stranger.submit(session, 1, BODY).body["code"] == "unknown_workspace"
     assert stranger.submit(f"{'0' * 16}-{'0' * 16}", 1, BODY).body["code"] == "unknown_workspace"
     each = caller.Caller(url)
+    assert each.submit(f"{session}0", 1, BODY).body["code"] == "bad_request"
+    assert each.submit("no-session", 1, BODY).body["code"] == "bad_request"
+    assert each.get(f"{'G' * 16}-{'0' * 16}", 1).body["code"] == "bad_request"
     assert each.submit(session[:-1] + ("0" if session[-1] != "0" else "1"), 1, BODY).body["code"] == "session_expired"
     assert each.get(session, 7).body["code"] == "unknown_job"
     assert each.cancel(session, 7).body["code"] == "unknown_job"
