Count frames that are too large and errors against the protocol

Cause: only frames that the codec refused were counted; the WebSocket library closes a connection for a frame over the limit before the codec sees it, and a refusal of a protocol version or of an unexpected message was raised after it. Ruled out: a missing close; code and reason were right. Before: no counter moved; after: bad_frames counts too large frames, protocol_errors every link closed for an error against the protocol.

--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Self
 
 import websockets.exceptions
+from websockets import frames
 
 from cactusgauge import exceptions
 from cactusgauge.wire import codec as codec_module
@@ -67,6 +68,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._writer
         if isinstance(error, exceptions.ProtocolError):
+            self._counters.add("protocol_errors", self.workspace, "")
             await self.close(str(error), code=1002)
         else:
             await self.close("closed")
@@ -81,6 +83,8 @@
         try:
             frame = await self._connection.recv()
         except websockets.exceptions.ConnectionClosed as error:
+            if error.sent is not None and error.sent.code == frames.CloseCode.MESSAGE_TOO_BIG:
+                self._counters.add("bad_frames", self.workspace, "")
             raise exceptions.LinkClosedError(str(error)) from error
         self._last_received = asyncio.get_running_loop().time()
         try:
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -192,6 +192,35 @@
     assert processes.counter("entry-0", "bad_frames") == before + 1
 
 
+@pytest.mark.usefixtures("check_serving")
+def test_oversized_frame_is_counted_and_closes_the_link(processes: cluster.Cluster) -> None:
+    """Guards against a frame that takes more memory than a node may use."""
+    before = processes.counter("entry-0", "bad_frames")
+
+    code, _ = send_and_wait_close(link_url(processes), [b"\x00" * (wire.MAX_FRAME_BYTES + 1)])
+
+    assert code == 1009
+    assert processes.counter("entry-0", "bad_frames") == before + 1
+
+
+@pytest.mark.usefixtures("check_serving")
+@pytest.mark.parametrize("kind", ["agent", "peer"])
+def test_other_protocol_version_is_refused_with_a_reason(processes: cluster.Cluster, kind: str) -> None:
+    """Guards against two versions that misread each other's messages."""
+    version = wire.PROTOCOL_VERSION + 1
+    info = processes.get_json("entry-1", "/v1/status")["entry"]
+    hello: wire.Message = wire.AgentHello(version, "x", "1", "cheese", "serra", 8)  # type: ignore[arg-type]
+    if kind == "peer":
+        hello = wire.PeerHello(version, wire.EntryInfo(**{**info, "name": "entry-9"}), 0, [])
+    before = processes.counter("entry-0", "protocol_errors")
+
+    code, reason = send_and_wait_close(link_url(processes), [wire.FrameCodec().encode(hello)])
+
+    assert code == 1002
+    assert f"protocol {version}" in reason
+    assert processes.counter("entry-0", "protocol_errors") == before + 1
+
+
 UNEXPECTED: dict[str, list[wire.Message]] = {
     "no hello": [wire.Resume(0, 8, True)],
     "result number from the future": [wire.Results(5, 0, 8, [])],
