Refuse outcomes with a state that is not final

Cause: the codec took any text; the dispatcher removed the task from the in-flight table and then raised ValueError, so that the task stayed open until its deadline. Ruled out: the end of the entry; only the link's handler ended. Before: the outcome of an unknown task was taken without an error; after: the frame is malformed, counted, and the link is closed.

--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -4,11 +4,14 @@
 part of the protocol; a change of it needs a new PROTOCOL_VERSION.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import pydantic
 
 from cactusgauge import ids
 
 PROTOCOL_VERSION = 1
+OutcomeState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
 
 
 class EntryInfo(NamedTuple):
@@ -44,7 +47,7 @@
     session: ids.SessionId
     number: int
     task: int
-    state: str
+    state: OutcomeState
     reason: str
     result: bytes
     run_ms: float
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -224,6 +224,7 @@
 UNEXPECTED: dict[str, list[wire.Message]] = {
     "no hello": [wire.Resume(0, 8, True)],
     "result number from the future": [wire.Results(5, 0, 8, [])],
+    "state of no task": [wire.Results(1, 0, 8, [wire.Outcome("s", 1, 0, "finished", "", b"", 1.0)])],  # type: ignore[arg-type]
     "entry's message": [wire.Assign(1, 0, 0, [])],
     "workspace unknown": [wire.AgentHello(1, "y", "1", "no-such", "serra", 8)],  # type: ignore[arg-type]
 }
