--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -112,7 +112,7 @@
 
     async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Change the faults and the announcements."""
-        change = await request.get_media()
+        change = json.loads(await request.stream.read())
         self._faults = Faults(**change.get("faults", {}))
         self._announcing = Announcing(change.get("announcing", "renew"))
         response.media = change
--- a/tests/system/caller.py
+++ b/tests/system/caller.py
@@ -59,6 +59,14 @@
     return json.dumps({"tasks": tasks, **extra}).encode()
 
 
+def fee_body(count: int, run_ms: float = 50, tag: str = "fee", **extra: Any) -> bytes:
+    """Return the body of a job that charges fees: no task may run twice."""
+    body = json.loads(job_body(count, run_ms, tag, **extra))
+    return json.dumps(
+        {**body, "tasks": [{**task, "kind": "fee-charge", "idempotent": False} for task in body["tasks"]]}
+    ).encode()
+
+
 def results(response: Response) -> list[str]:
     """Return the results of all tasks in order."""
     return [task["result"] for task in response.body["tasks"]]
--- a/tests/system/checks.py
+++ b/tests/system/checks.py
@@ -11,16 +11,26 @@
 
 
 def check_answer(
-    processes: "cluster.Cluster", response: caller.Response, session: str, number: int, count: int, tag: str = "r"
+    processes: "cluster.Cluster",
+    response: caller.Response,
+    session: str,
+    number: int,
+    count: int,
+    tag: str = "r",
+    starts: dict[str, int] | None = None,
 ) -> dict[str, int]:
-    """Check that an answer is whole, the caller's own and truthful; return how many tasks ended in each state."""
+    """Check that an answer is whole, the caller's own and truthful; return how many tasks ended in each state.
+
+    `starts` are the starts of all jobs, if they were read before.
+    """
     body = response.body
     assert response.status == 200, response
     assert (body["session"], body["job"]) == (session, number)
     assert [task["index"] for task in body["tasks"]] == list(range(count))
     states = [task["state"] for task in body["tasks"]]
     assert (body["state"] == "complete") == (set(states) == {"completed"}), body
-    starts = processes.starts(f"{session}/{number}/")
+    if starts is None:
+        starts = processes.starts(f"{session}/{number}/")
     for task in body["tasks"]:
         started = starts.get(f"{session}/{number}/{task['index']}", 0)
         assert started in {"completed": {1}, "failed": {1}, "not_run": {0}, "unknown": {0, 1}}[task["state"]], task
