--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -53,18 +53,28 @@
 
 
 class EntrySettings(DaemonSettings):
-    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing."""
+    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing.
+
+    The advertised URLs are needed where other processes reach the entry under another address than it binds.
+    """
 
     role: Literal["entry"]
     link_port: Port
     workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
     size: float = pydantic.Field(default=1.0, gt=0)
     log_url: HttpUrl
+    advertised_http_url: HttpUrl | None = None
+    advertised_link_url: LinkUrl | None = None
+
+    @property
+    def http_url(self) -> str:
+        """URL under which other processes reach this one's HTTP interface."""
+        return self.advertised_http_url or super().http_url
 
     @property
     def link_url(self) -> str:
         """URL under which agents and other entries open links."""
-        return f"ws://{self.host}:{self.link_port}"
+        return self.advertised_link_url or f"ws://{self.host}:{self.link_port}"
 
 
 class AgentSettings(DaemonSettings):
