Serve an agent's link apart from dialling it

EntryLinks.serve takes a link that is already open, so that tests join the agent's and the entry's code by links of their own. The first such test shows that tasks completed before a cancel stay completed.

--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -87,19 +87,22 @@
             close_timeout=1,
             proxy=None,
         )
-        ledger: entry_ledger.EntryLedger | None = None
-
-        def heartbeat() -> wire.Message:
-            return wire.Heartbeat(ledger.last_assign_number if ledger else 0, 0)
-
-        async with wire.Link(connection, self._codec, self._counters, heartbeat) as link:
-            link.workspace = self._hello.workspace
-            welcome = await self._shake_hands(link)
-            found = self._controller.ledger(welcome.incarnation)
-            if found.link is not None:
-                raise exceptions.ProtocolError(f"entry {welcome.name} is already linked")
-            ledger = found
-            await self._serve(url, link, ledger, welcome)
+        link = wire.Link(connection, self._codec, self._counters, lambda: self._heartbeat(link))
+        async with link:
+            await self.serve(url, link)
+
+    async def serve(self, url: str, link: wire.Link) -> None:
+        """Serve a new link to the entry at `url` until it closes."""
+        link.workspace = self._hello.workspace
+        welcome = await self._shake_hands(link)
+        ledger = self._controller.ledger(welcome.incarnation)
+        if ledger.link is not None:
+            raise exceptions.ProtocolError(f"entry {welcome.name} is already linked")
+        await self._serve(url, link, ledger, welcome)
+
+    def _heartbeat(self, link: wire.Link) -> wire.Message:
+        acks = (ledger.last_assign_number for ledger in self._controller.ledgers if ledger.link is link)
+        return wire.Heartbeat(next(acks, 0), 0)
 
     async def _shake_hands(self, link: wire.Link) -> wire.Welcome:
         link.post(self._hello)
--- /dev/null
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -0,0 +1,38 @@
+from collections import abc
+
+import pytest
+
+from cactusgauge import jobs
+from tests.unit import conftest as unit_conftest
+from tests.unit.dispatch import conftest
+
+COMPLETED = jobs.TaskState.COMPLETED
+
+
+@pytest.fixture
+def world() -> abc.Iterator[conftest.World]:
+    """Give one agent linked to one entry, and everything delivered."""
+    made = conftest.World(entries=1)
+    made.relink()
+    yield made
+    made.close()
+
+
+def _submit(world: conftest.World, count: int) -> jobs.Job:
+    world.call(lambda: world.entries[0].submit(count))
+    return world.entries[0].jobs[-1]
+
+
+def _states(job: jobs.Job) -> list[str]:
+    return [job.task_at(index).state.value for index in range(job.task_count)]
+
+
+def test_task_whose_completion_races_a_cancel_stays_completed(world: conftest.World) -> None:
+    """Guards against a cancel that reports a task that ran as not run."""
+    job = _submit(world, 4)
+    world.deliver_all()
+    for run in world.running:
+        world.call(lambda run=run: run.end(COMPLETED))  # type: ignore[misc]
+    world.call(lambda: world.entries[0].service.dispatcher(unit_conftest.WORKSPACE).cancel(job))
+    world.deliver_all()
+    assert _states(job) == ["completed", "completed", "not_run", "not_run"]
