Refuse a cancelled task that returns to the queue

Cause: a cancel, a seal and the deadline end the tasks that are queued at that moment. A task in flight whose start provably never arrived, or was refused, returned to the queue afterwards and was started, although its job had been cancelled or its session sealed. Ruled out: completions that race a cancel; they stay completed. Before: the task of a cancelled job starts after a reconnect. After: it ends as not_run with the reason of the refusal. Conclusion: a refusal is a property of the job, not of one moment.

--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -269,8 +269,11 @@
         if job is None or not job.return_to_queue(task_id.task):
             return
         self._queued_count += 1
-        self._push(job)
         self._counters.add("tasks_returned", self.workspace, "")
+        if job.refusal is not None:
+            self._refuse_queued(job, job.refusal)
+            return
+        self._push(job)
 
     def _refuse_sealed(self, session: ids.SessionId) -> None:
         for job in list(self._jobs.values()):
--- a/src/cactusgauge/jobs/job.py
+++ b/src/cactusgauge/jobs/job.py
@@ -37,6 +37,7 @@
         self._open_count = len(self._tasks)
         self._accepted_at = accepted_at
         self._deadline = accepted_at + deadline_ms / MILLISECONDS_PER_SECOND
+        self._refusal: task.Reason | None = None
         self._finished = asyncio.Event()
         self._finished_at: float | None = None
 
@@ -75,6 +76,11 @@
         """Number of tasks without a final state."""
         return self._open_count
 
+    @property
+    def refusal(self) -> task.Reason | None:
+        """Why no task of the job may be started any more, or None."""
+        return self._refusal
+
     @property
     def is_finished(self) -> bool:
         """Whether every task has a final state."""
@@ -151,7 +157,8 @@
         return True
 
     def refuse_queued(self, reason: task.Reason, now: float) -> int:
-        """End all queued tasks as `not_run`; return how many."""
+        """End all queued tasks as `not_run`, and let no task start any more; return how many."""
+        self._refusal = self._refusal or reason
         indices = list(self._queue)
         for index in indices:
             self.finish_task(index, task.TaskState.NOT_RUN, now, reason.value)
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -27,6 +27,16 @@
     return [job.task_at(index).state.value for index in range(job.task_count)]
 
 
+def test_task_that_returns_after_a_cancel_is_not_started(world: conftest.World) -> None:
+    """Guards against a cancelled task that starts because its start had been lost with a link."""
+    job = _submit(world, 1)
+    world.call(lambda: world.entries[0].service.dispatcher(unit_conftest.WORKSPACE).cancel(job))
+    world.relink()
+    assert not world.runs
+    assert _states(job) == ["not_run"]
+    assert job.task_at(0).reason == jobs.Reason.CANCELLED.value
+
+
 def test_task_whose_completion_races_a_cancel_stays_completed(world: conftest.World) -> None:
     """Guards against a cancel that reports a task that ran as not run."""
     job = _submit(world, 4)
