Start no task after its job's deadline

Until then a free slot still took them, with 1 ms left, so that they ended as unknown instead of not_run. Conclusion: limits are checked at the moment of use.

--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -179,10 +179,10 @@
     def _push(self, job: jobs.Job) -> None:
         heapq.heappush(self._heap, (self._ordering.key(job), next(self._heap_numbers), job))
 
-    def _next_job(self) -> jobs.Job | None:
+    def _next_job(self, now: float) -> jobs.Job | None:
         while self._heap:
             key, _, job = self._heap[0]
-            if job.id not in self._jobs or not job.queued_count:
+            if job.id not in self._jobs or not job.queued_count or now >= job.deadline:
                 heapq.heappop(self._heap)
                 continue
             current_key = self._ordering.key(job)
@@ -218,7 +218,7 @@
         free = [worker for worker in available if free_slots[worker.name] > 0]
         if not free:
             return None
-        job = self._next_job()
+        job = self._next_job(now)
         if job is None:
             return None
         task = job.next_task()
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -46,3 +46,19 @@
     world.call(lambda: world.entries[0].service.dispatcher(unit_conftest.WORKSPACE).cancel(job))
     world.deliver_all()
     assert _states(job) == ["completed", "completed", "not_run", "not_run"]
+
+
+def test_no_task_starts_after_the_deadline(world: conftest.World) -> None:
+    """Guards against a start between the deadline and the next sweep, which ends as unknown after 1 ms."""
+    first = _submit(world, 2)
+    world.deliver_all()
+    late = _submit(world, 1)
+    world.loop.now += conftest.DEADLINE_MS / 1000
+    world.call(world.agents[0].announce)
+    for run in world.running:
+        world.call(lambda run=run: run.end(COMPLETED))  # type: ignore[misc]
+    world.deliver_all()
+    assert _states(first) == ["completed", "completed"]
+    assert len(world.runs) == 2
+    world.advance(0.1)
+    assert _states(late) == ["not_run"]
