Pause a worker whose agent refuses starts within its credit

Cause: after AGENT_LOST_S without a link an entry gives up the tasks in flight and counts their slots as free, but the agent may still run them. After the reconnect each start within the credit is refused as no_slot, returns to the queue and is sent again at once: an endless exchange of two messages at the speed of the network until one of the tasks ends. Ruled out: changes of shares; a refusal then carries a credit that leaves no free slot. Keeping given-up tasks in flight; they would hold their slots for ever if the agent drops their results. Conclusion: a refusal that contradicts the credit pauses the worker.

--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -155,6 +155,10 @@
         worker.update_state(results.credit, worker.serving)
         for outcome in results.outcomes:
             self._take_outcome(worker, outcome)
+        refused = results.outcomes and all(each.reason == jobs.Reason.NO_SLOT.value for each in results.outcomes)
+        if refused and worker.free_slots:
+            # The agent still runs tasks that were given up here, so its credit would be answered by refusals only.
+            worker.pause(asyncio.get_running_loop().time())
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -62,3 +62,15 @@
     assert len(world.runs) == 2
     world.advance(0.1)
     assert _states(late) == ["not_run"]
+
+
+def test_given_up_tasks_cause_no_storm_of_refusals(world: conftest.World) -> None:
+    """Guards against start and refusal in an endless loop while an agent runs tasks that were given up."""
+    _submit(world, 2)
+    world.deliver_all()
+    world.call(world.connections[0].entry_end.abort)
+    world.advance(11.0)
+    job = _submit(world, 1)
+    world.relink()
+    world.finish_everything()
+    assert _states(job) == ["completed"]
