Replace the view of an agent only when the new link is resumed

Cause: find_worker replaced the view of an agent whenever it was called with another incarnation, and AgentLinks calls it for every heartbeat of a link. As long as the link of a killed agent was not noticed to be dead, its heartbeats displaced the restarted agent: its tasks became unknown, and its own link served a view that nothing was dispatched to any more. Ruled out: the numbering of the new incarnation; it starts anew. Before: a task at the restarted agent ends as unknown after one heartbeat. After: it completes, and further work is sent to the agent. Conclusion: looking an agent up changes nothing; its Resume does.

--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -127,18 +127,26 @@
             asyncio.get_running_loop().call_soon(self._dispatch)
 
     def find_worker(self, hello: wire.AgentHello) -> remote_worker.RemoteWorker:
-        """Return the view of the agent that says hello; tasks of an earlier incarnation become unknown."""
+        """Return the view of the agent that says hello; a new view is not in use before `attach`."""
         known = self._workers.get(hello.name)
         if known is not None and known.incarnation == hello.incarnation:
             return known
-        if known is not None:
-            self._abandon(known, jobs.Reason.AGENT_RESTARTED)
-        created = remote_worker.RemoteWorker(hello, hello.data_centre)
-        self._workers[hello.name] = created
-        return created
+        return remote_worker.RemoteWorker(hello, hello.data_centre)
 
     def attach(self, worker: remote_worker.RemoteWorker, link: wire.Link, resume: wire.Resume) -> None:
-        """Use a worker's new link; tasks that never arrived return to the queue."""
+        """Use a worker's new link; tasks that never arrived return to the queue.
+
+        Only an agent that runs completes the handshake, so only then it replaces the view of another incarnation,
+        whose tasks become unknown.
+        """
+        known = self._workers.get(worker.name)
+        if known is not None and known is not worker:
+            if known.incarnation == worker.incarnation:
+                raise exceptions.ProtocolError(f"agent {worker.name} opened two first links")
+            self._abandon(known, jobs.Reason.AGENT_RESTARTED)
+            if known.link is not None:
+                known.link.abort()
+        self._workers[worker.name] = worker
         for task_id in worker.attach(link, resume):
             self._return_to_queue(task_id)
         self.schedule()
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -74,3 +74,20 @@
     world.relink()
     world.finish_everything()
     assert _states(job) == ["completed"]
+
+
+def test_old_incarnation_does_not_displace_the_new_one(world: conftest.World) -> None:
+    """Guards against the heartbeat of a link that is about to die taking the agent's new link out of use."""
+    world.restart_agent(0)  # the entry has not noticed it yet
+    world.dial(world.agents[0], world.entries[0])
+    new = world.connections[-1]
+    for end in (new.agent_end, new.entry_end, new.agent_end):
+        world.call(end.deliver)
+    job = _submit(world, 1)
+    world.call(new.entry_end.deliver)
+    world.beat()
+    world.finish_everything()
+    assert _states(job) == ["completed"]
+    after = _submit(world, 1)
+    world.finish_everything()
+    assert _states(after) == ["completed"]
