Number the links of an agent, so that an old Resume proves nothing

Cause: Resume says that assigns above a number were not handled. That holds for the link on which it was sent, but a Resume that is delayed, for example by a retransmission, may be read after the Resume of a later link and after assigns that the agent handled on that link. Ruled out: numbers of Assign alone; the delayed number is a true number of the past. The order of Welcome; an agent may attach two links in either order. Before: a task is started at two agents. Conclusion: agents count their links to an entry incarnation and entries refuse a number that is not higher. The field needs protocol version 2.

--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -19,6 +19,7 @@
     def __init__(self, incarnation: ids.EntryIncarnation) -> None:
         self._incarnation = incarnation
         self._link: wire.Link | None = None
+        self._link_number = 0
         self._last_assign_number = 0
         self._last_result_number = 0
         self._pending: list[wire.Outcome] = []
@@ -56,10 +57,11 @@
     def attach(self, link: wire.Link, last_result_number: int, credit: int, serving: bool) -> None:
         """Use a new link: report the last number handled and send again what the entry has not received."""
         self._link = link
+        self._link_number += 1
         self._unlinked_since = None
         self._shown_credit = credit
         self.acknowledge(last_result_number)
-        link.post(wire.Resume(self._last_assign_number, credit, serving))
+        link.post(wire.Resume(self._last_assign_number, credit, serving, self._link_number))
         for results in self._unacknowledged:
             link.post(results._replace(assign_ack=self._last_assign_number, credit=credit))
         if not self._unacknowledged:
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -34,6 +34,7 @@
         self._slots = hello.slots
         self._data_centre = data_centre
         self._link: wire.Link | None = None
+        self._link_number = 0
         self._credit = 0
         self._serving = False
         self._paused_until = 0.0
@@ -119,6 +120,9 @@
 
     def attach(self, link: "wire.Link", resume: wire.Resume) -> list[ids.TaskId]:
         """Take a new link; return the tasks that the agent provably never received."""
+        if resume.link_number <= self._link_number:
+            raise exceptions.ProtocolError(f"link {resume.link_number} after {self._link_number}")
+        self._link_number = resume.link_number
         self._link = link
         self._lost_since = None
         self.update_state(resume.credit, resume.serving)
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -10,7 +10,7 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 # The final states of `jobs.TaskState`, as only ended tasks are reported.
 FinalState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
@@ -77,11 +77,16 @@
 
 
 class Resume(NamedTuple):
-    """Ends the handshake; assigns above `last_assign_number` were not and will not be handled."""
+    """Ends the handshake; assigns above `last_assign_number` were not and will not be handled.
+
+    `link_number` counts the agent's links to the entry incarnation. A message of a link may arrive after those of a
+    later one, so without it an old `Resume` would pass for proof that newer assigns were not handled.
+    """
 
     last_assign_number: int
     credit: int
     serving: bool
+    link_number: int
 
 
 class Assign(NamedTuple):
--- /dev/null
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -0,0 +1,31 @@
+from cactusgauge import jobs
+from tests.unit.dispatch import conftest
+
+
+def test_resume_of_an_older_link_proves_nothing() -> None:
+    """Guards against a task that is given to another agent because a delayed Resume does not know of its start."""
+    world = conftest.World(agents=2, entries=1)
+    agent, entry = world.agents[0], world.entries[0]
+    world.call(lambda: agent.lease.leave(agent.lease.valid.id))  # type: ignore[union-attr]
+    world.dial(agent, entry)
+    old = world.connections[0]
+    world.call(old.agent_end.deliver)
+    world.call(old.entry_end.deliver)  # the agent sends Resume, which is delayed
+    world.call(old.agent_end.close_end)
+    world.call(agent.announce)
+    world.dial(agent, entry)
+    new = world.connections[1]
+    for end in (new.agent_end, new.entry_end, new.agent_end):
+        world.call(end.deliver)
+    world.call(lambda: entry.submit(1))
+    world.call(new.entry_end.deliver)
+    world.dial(world.agents[1], entry)
+    other = world.connections[2]
+    for end in (other.agent_end, other.entry_end, other.agent_end):
+        world.call(end.deliver)
+    world.call(old.agent_end.deliver)
+    world.finish_everything()
+    starts, states = len(world.runs), [job.state for job in entry.jobs]
+    world.close()
+    assert starts == 1
+    assert states == [jobs.JobState.COMPLETE]
