Abort the link that a new link of the same agent replaces

Cause: the entry read on from the old link of an agent after a new one was in use. An AgentState that was still on its way there overwrote the newer state of Resume, and as the agent reports only changes, the worker stayed out of use. Ruled out: results from the old link; their numbers make them harmless. Before: a job is never started after a reconnect during a change of lease. After: it completes. Frames of an aborted link are not read any more.

--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -119,10 +119,15 @@
         return max(0.0, min(entry.expected_end for entry in self._in_flight.values()) - now)
 
     def attach(self, link: "wire.Link", resume: wire.Resume) -> list[ids.TaskId]:
-        """Take a new link; return the tasks that the agent provably never received."""
+        """Take a new link; return the tasks that the agent provably never received.
+
+        What arrives on an earlier link from now on is older than `resume`, so that link is aborted.
+        """
         if resume.link_number <= self._link_number:
             raise exceptions.ProtocolError(f"link {resume.link_number} after {self._link_number}")
         self._link_number = resume.link_number
+        if self._link is not None and self._link is not link:
+            self._link.abort()
         self._link = link
         self._lost_since = None
         self.update_state(resume.credit, resume.serving)
--- a/tests/unit/dispatch/test_remote_worker.py
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -29,3 +29,27 @@
     world.close()
     assert starts == 1
     assert states == [jobs.JobState.COMPLETE]
+
+
+def test_state_from_a_replaced_link_is_not_taken_in() -> None:
+    """Guards against an old message that takes a worker out of use for good."""
+    world = conftest.World(entries=1)
+    agent, entry = world.agents[0], world.entries[0]
+    world.dial(agent, entry)
+    world.deliver_all()
+    old = world.connections[0]
+    world.loop.now += 5.0
+    world.call(agent.controller.refresh)
+    world.call(old.agent_end.close_end)
+    world.call(agent.announce)
+    world.dial(agent, entry)
+    new = world.connections[1]
+    for _ in range(2):
+        world.call(new.agent_end.deliver)
+        world.call(new.entry_end.deliver)
+    world.deliver_all()
+    world.call(lambda: entry.submit(1))
+    world.finish_everything()
+    states = [job.state for job in entry.jobs]
+    world.close()
+    assert states == [jobs.JobState.COMPLETE]
