Never lower the number of an agent's next results message

Cause: when no result was unacknowledged, the ledger took the number of the last result from Welcome. With two links in the handshake, Welcome may be older than results that the entry received over the other link. The agent then used a number again and the entry dropped the message as repeated. Ruled out: results that are unacknowledged; they kept their numbers. Before: a job of two whose Welcome was overtaken never ends. After: both end. Conclusion: numbers only increase.

--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -13,7 +13,8 @@
     """Numbers, unacknowledged results and sealed sessions of one entry incarnation.
 
     The last assign number makes each assign message take effect at most once. It is kept as long as the agent runs,
-    as an entry that was paused may return at any time.
+    as an entry that was paused may return at any time. Result numbers only increase: a welcome may be older than
+    results that arrived over another link, so it says nothing about the next number.
     """
 
     def __init__(self, incarnation: ids.EntryIncarnation) -> None:
@@ -64,8 +65,6 @@
         link.post(wire.Resume(self._last_assign_number, credit, serving, self._link_number))
         for results in self._unacknowledged:
             link.post(results._replace(assign_ack=self._last_assign_number, credit=credit))
-        if not self._unacknowledged:
-            self._last_result_number = last_result_number
 
     def detach(self) -> None:
         """Note the loss of the link; nothing is read from it any more."""
@@ -126,4 +125,4 @@
             return
         if asyncio.get_running_loop().time() - self._unlinked_since > UNSENT_RETENTION_S:
             self._pending.clear()
-            self._unacknowledged.clear()
+            self._unacknowledged = collections.deque(each._replace(outcomes=[]) for each in self._unacknowledged)
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -39,7 +39,7 @@
         self._serving = False
         self._paused_until = 0.0
         self._last_assign_number = 0
-        self._last_result_number = 0
+        self._last_result_number: int | None = None
         self._result_ack_due = False
         self._unacknowledged: collections.deque[tuple[int, list[ids.TaskId]]] = collections.deque()
         self._in_flight: dict[ids.TaskId, InFlight] = {}
@@ -84,7 +84,7 @@
     @property
     def last_result_number(self) -> int:
         """Number of the last results message taken in."""
-        return self._last_result_number
+        return self._last_result_number or 0
 
     @property
     def lost_since(self) -> float | None:
@@ -171,7 +171,7 @@
         for task_id, (_, _, run_s) in zip(task_ids, tasks, strict=True):
             self._in_flight[task_id] = InFlight(self._last_assign_number, now, now + run_s)
         self._unacknowledged.append((self._last_assign_number, task_ids))
-        message = wire.Assign(self._last_assign_number, self._last_result_number, demand, starts)
+        message = wire.Assign(self._last_assign_number, self.last_result_number, demand, starts)
         self._shown_demand = demand
         self._link.post(message)
         return message
@@ -182,11 +182,16 @@
             self._unacknowledged.popleft()
 
     def accept_results(self, results: wire.Results) -> bool:
-        """Note a results message; return False for a repeated one."""
-        if results.number <= self._last_result_number:
-            return False
-        if results.number != self._last_result_number + 1:
-            raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
+        """Note a results message; return False for a repeated one.
+
+        The first message may have any number: an agent sends again from the first one without acknowledgement, and
+        it may have sent others to an earlier view of it.
+        """
+        if self._last_result_number is not None:
+            if results.number <= self._last_result_number:
+                return False
+            if results.number != self._last_result_number + 1:
+                raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
         self._last_result_number = results.number
         self.acknowledge(results.assign_ack)
         return True
--- a/tests/unit/dispatch/test_remote_worker.py
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -53,3 +53,30 @@
     states = [job.state for job in entry.jobs]
     world.close()
     assert states == [jobs.JobState.COMPLETE]
+
+
+def test_welcome_that_is_older_than_the_last_link_loses_no_result() -> None:
+    """Guards against result numbers that restart below what the entry has received."""
+    world = conftest.World(entries=1)
+    agent, entry = world.agents[0], world.entries[0]
+    world.dial(agent, entry)
+    world.deliver_all()
+    world.dial(agent, entry)
+    first, second = world.connections
+    world.call(second.agent_end.deliver)
+    world.call(lambda: entry.submit(1))
+    world.call(first.entry_end.deliver)
+    world.call(lambda: world.running[0].end(jobs.TaskState.COMPLETED))
+    world.call(first.agent_end.deliver)
+    world.beat()
+    for _ in range(2):
+        world.call(first.entry_end.deliver)
+    world.call(first.agent_end.abort)
+    world.deliver_all()
+    if not world.connections:
+        world.dial(agent, entry)
+    world.call(lambda: entry.submit(1))
+    world.finish_everything()
+    states = [job.state for job in entry.jobs]
+    world.close()
+    assert states == [jobs.JobState.COMPLETE] * 2
