Report tasks as unknown when their results were dropped

Cause: an agent drops results for an entry that was away for 120 s. An entry that was only paused resumes within AGENT_LOST_S by its own clock, so it does not give up the tasks. It waited for their results, and counted their slots as taken, for as long as the agent ran. Ruled out: the deadline; it ends the tasks but not the use of the slots. Before: after a pause of 130 s no task is sent to the agent again. After: the tasks end as unknown (no_record) and the slots are used. Conclusion: an agent may forget a result but not that a task ended.

--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from cactusgauge import exceptions, ids, wire
+from cactusgauge import exceptions, ids, jobs, wire
 
 MAX_SEALED_SESSIONS = 10_000
 UNSENT_RETENTION_S = 120.0
@@ -120,9 +120,22 @@
         return self._is_sealed or session in self._sealed_sessions
 
     def expire(self) -> None:
-        """Drop the results for an entry that has been away too long to use them."""
+        """Drop the content of results for an entry that has been away for long; their tasks become unknown.
+
+        The outcomes themselves stay, at most one for each slot: the entry may only have been paused, and it counts
+        the slots of tasks that it hears nothing of as taken.
+        """
         if self._unlinked_since is None:
             return
         if asyncio.get_running_loop().time() - self._unlinked_since > UNSENT_RETENTION_S:
-            self._pending.clear()
-            self._unacknowledged = collections.deque(each._replace(outcomes=[]) for each in self._unacknowledged)
+            self._pending = [self._without_result(each) for each in self._pending]
+            self._unacknowledged = collections.deque(
+                each._replace(outcomes=[self._without_result(outcome) for outcome in each.outcomes])
+                for each in self._unacknowledged
+            )
+
+    @staticmethod
+    def _without_result(outcome: wire.Outcome) -> wire.Outcome:
+        if not outcome.result:
+            return outcome
+        return outcome._replace(state=jobs.TaskState.UNKNOWN.value, reason=jobs.Reason.NO_RECORD.value, result=b"")
--- a/tests/unit/dispatch/test_remote_worker.py
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -80,3 +80,24 @@
     states = [job.state for job in entry.jobs]
     world.close()
     assert states == [jobs.JobState.COMPLETE] * 2
+
+
+def test_entry_that_was_paused_for_long_uses_the_slots_again() -> None:
+    """Guards against tasks that stay in flight for ever as the agent dropped their results."""
+    world = conftest.World(entries=1)
+    agent, entry = world.agents[0], world.entries[0]
+    world.relink()
+    world.call(lambda: entry.submit(conftest.SLOTS))
+    world.deliver_all()
+    world.call(world.connections[0].agent_end.close_end)
+    for run in world.running:
+        world.call(lambda run=run: run.end(jobs.TaskState.COMPLETED))  # type: ignore[misc]
+    world.loop.now += 130.0
+    world.call(agent.controller.refresh)
+    world.deliver_all()
+    world.relink()
+    world.call(lambda: entry.submit(1))
+    world.finish_everything()
+    states = [job.state for job in entry.jobs]
+    world.close()
+    assert states == [jobs.JobState.FAILED, jobs.JobState.COMPLETE]
