Tell each entry the serving state that differs from what it was told

Cause: the controller compared its state with the one of the last refresh, for all entries at once. Ruled out: credit; it is compared for each entry. Before: the entry never uses the worker. After: it is told by the announcement. Conclusion: what a peer was told is kept for each peer.

--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -29,6 +29,7 @@
         self._is_sealed = False
         self._unlinked_since: float | None = None
         self._shown_credit = 0
+        self._shown_serving = False
 
     @property
     def incarnation(self) -> ids.EntryIncarnation:
@@ -50,6 +51,11 @@
         """The credit that the entry was last told."""
         return self._shown_credit
 
+    @property
+    def shown_serving(self) -> bool:
+        """Whether the entry was last told that new work is taken."""
+        return self._shown_serving
+
     @property
     def has_unacknowledged(self) -> bool:
         """Whether the entry may not have received every result."""
@@ -61,6 +67,7 @@
         self._link_number += 1
         self._unlinked_since = None
         self._shown_credit = credit
+        self._shown_serving = serving
         self.acknowledge(last_result_number)
         link.post(wire.Resume(self._last_assign_number, credit, serving, self._link_number))
         for results in self._unacknowledged:
@@ -104,6 +111,7 @@
     def show_state(self, credit: int, serving: bool) -> None:
         """Tell the entry its credit and whether new work is taken."""
         self._shown_credit = credit
+        self._shown_serving = serving
         if self._link is not None:
             self._link.post(wire.AgentState(self._last_assign_number, credit, serving))
 
--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -109,11 +109,12 @@
         if self.serving != self._shown_serving:
             self._shown_serving = self.serving
             self._events.record_state("serving_changed", serving=self.serving)
-            for ledger in self._ledgers.values():
-                ledger.show_state(self._credit(ledger), self.serving)
         self._starts.expire()
         for ledger in self._ledgers.values():
             ledger.expire()
+            # An entry that linked since the last call may have been told another state than the others.
+            if ledger.shown_serving != self.serving:
+                ledger.show_state(self._credit(ledger), self.serving)
 
     async def drain(self) -> None:
         """Take no new work, and wait until all running tasks ended and their results were received."""
--- a/tests/unit/dispatch/test_remote_worker.py
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -101,3 +101,18 @@
     states = [job.state for job in entry.jobs]
     world.close()
     assert states == [jobs.JobState.FAILED, jobs.JobState.COMPLETE]
+
+
+def test_entry_that_links_between_two_leases_is_told_of_the_second() -> None:
+    """Guards against an entry that never uses a worker because the agent itself noticed no change."""
+    world = conftest.World(entries=1)
+    agent, entry = world.agents[0], world.entries[0]
+    world.call(lambda: agent.lease.leave(agent.lease.valid.id))  # type: ignore[union-attr]
+    world.dial(agent, entry)
+    world.deliver_all()
+    world.call(agent.announce)
+    world.call(lambda: entry.submit(1))
+    world.finish_everything()
+    states = [job.state for job in entry.jobs]
+    world.close()
+    assert states == [jobs.JobState.COMPLETE]
