--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from cactusgauge import accounting, exceptions, ids, wire
+from cactusgauge import accounting, exceptions, ids, jobs, wire
 
 MAX_SEALED_SESSIONS = 10_000
 UNSENT_RETENTION_S = 120.0
@@ -13,12 +13,14 @@
     """Numbers, unacknowledged results and sealed sessions of one entry incarnation.
 
     The last assign number makes each assign message take effect at most once. It is kept as long as the agent runs,
-    as an entry that was paused may return at any time.
+    as an entry that was paused may return at any time. Result numbers only increase: a welcome may be older than
+    results that arrived over another link, so it says nothing about the next number.
     """
 
     def __init__(self, incarnation: ids.EntryIncarnation) -> None:
         self._incarnation = incarnation
         self._link: wire.Link | None = None
+        self._link_number = 0
         self._last_assign_number = 0
         self._last_result_number = 0
         self._pending: list[wire.Outcome] = []
@@ -28,6 +30,7 @@
         self._unlinked_since: float | None = None
         self._shown_credit = 0
         self._account = accounting.PairAccount()
+        self._shown_serving = False
 
     @property
     def incarnation(self) -> ids.EntryIncarnation:
@@ -54,6 +57,11 @@
         """The credit that the entry was last told."""
         return self._shown_credit
 
+    @property
+    def shown_serving(self) -> bool:
+        """Whether the entry was last told that new work is taken."""
+        return self._shown_serving
+
     @property
     def has_unacknowledged(self) -> bool:
         """Whether the entry may not have received every result."""
@@ -62,14 +70,14 @@
     def attach(self, link: wire.Link, last_result_number: int, credit: int, serving: bool) -> None:
         """Use a new link: report the last number handled and send again what the entry has not received."""
         self._link = link
+        self._link_number += 1
         self._unlinked_since = None
         self._shown_credit = credit
+        self._shown_serving = serving
         self.acknowledge(last_result_number)
-        link.post(wire.Resume(self._last_assign_number, credit, serving))
+        link.post(wire.Resume(self._last_assign_number, credit, serving, self._link_number))
         for results in self._unacknowledged:
             link.post(results._replace(assign_ack=self._last_assign_number, credit=credit))
-        if not self._unacknowledged:
-            self._last_result_number = last_result_number
 
     def detach(self) -> None:
         """Note the loss of the link; nothing is read from it any more."""
@@ -111,6 +119,7 @@
     def show_state(self, credit: int, serving: bool) -> None:
         """Tell the entry its credit and whether new work is taken."""
         self._shown_credit = credit
+        self._shown_serving = serving
         if self._link is not None:
             self._link.post(wire.AgentState(self._last_assign_number, credit, serving))
 
@@ -127,10 +136,22 @@
         return self._is_sealed or session in self._sealed_sessions
 
     def expire(self) -> None:
-        """Drop the results for an entry that has been away too long to use them."""
+        """Drop the content of results for an entry that has been away for long; their tasks become unknown.
+
+        The outcomes themselves stay, at most one for each slot: the entry may only have been paused, and it counts
+        the slots of tasks that it hears nothing of as taken.
+        """
         if self._unlinked_since is None:
             return
         if asyncio.get_running_loop().time() - self._unlinked_since > UNSENT_RETENTION_S:
-            self._account.dropped += len(self._pending) + sum(len(each.outcomes) for each in self._unacknowledged)
-            self._pending.clear()
-            self._unacknowledged.clear()
+            self._pending = [self._without_result(each) for each in self._pending]
+            self._unacknowledged = collections.deque(
+                each._replace(outcomes=[self._without_result(outcome) for outcome in each.outcomes])
+                for each in self._unacknowledged
+            )
+
+    @staticmethod
+    def _without_result(outcome: wire.Outcome) -> wire.Outcome:
+        if not outcome.result:
+            return outcome
+        return outcome._replace(state=jobs.TaskState.UNKNOWN.value, reason=jobs.Reason.NO_RECORD.value, result=b"")
