Tell an agent of the entries that appear during its handshake

Cause: an entry that was linked between Welcome and Resume was neither in Welcome nor in the broadcast, which reaches attached agents only. The agent never dialled it, and dropped it from its seeds. Ruled out: the membership, the peers were linked; the agent's directory, which keeps what it is told. The test pauses an entry to make the race certain.

--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -33,16 +33,16 @@
         link.workspace = hello.workspace
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = dispatcher.find_worker(hello)
-        own = self._members.own
+        own, welcomed = self._members.own, self._members.alive
         link.post(
-            wire.Welcome(
-                wire.PROTOCOL_VERSION, own.name, own.incarnation, worker.last_result_number, self._members.alive
-            )
+            wire.Welcome(wire.PROTOCOL_VERSION, own.name, own.incarnation, worker.last_result_number, welcomed)
         )
         resume = await link.receive()
         if not isinstance(resume, wire.Resume):
             raise exceptions.ProtocolError("Resume expected")
         dispatcher.attach(worker, link, resume)
+        if self._members.alive != welcomed:  # a change during the handshake was not broadcast to this agent
+            link.post(wire.Entries(self._members.alive))
         self._events.record_state("agent_linked", agent=hello.name, incarnation=hello.incarnation)
         try:
             while True:
--- /dev/null
+++ b/tests/system/test_links.py
@@ -0,0 +1,83 @@
+"""Links of agents to a real entry, with the agent's side played by the test."""
+
+import contextlib
+import signal
+import time
+from collections import abc
+from typing import cast
+
+import pytest
+from websockets.sync import client
+
+from cactusgauge import ids, wire
+from emulator import cluster
+
+TIMEOUT_S = 20.0
+
+
+class PlayedAgent:
+    """An agent's end of one link."""
+
+    def __init__(self, connection: client.ClientConnection, name: str, incarnation: str) -> None:
+        self._connection = connection
+        self._codec = wire.FrameCodec()
+        hello = wire.AgentHello(
+            wire.PROTOCOL_VERSION,
+            ids.AgentName(name),
+            ids.AgentIncarnation(incarnation),
+            ids.WorkspaceName("cheese"),
+            ids.DataCentreName("serra"),
+            8,
+        )
+        self.send(hello)
+        self.welcome = cast("wire.Welcome", self.receive(wire.Welcome))
+
+    def send(self, message: wire.Message) -> None:
+        """Send a message."""
+        self._connection.send(self._codec.encode(message))
+
+    def receive(self, kind: type[wire.Message]) -> wire.Message:
+        """Return the next message of a kind."""
+        end = time.monotonic() + TIMEOUT_S
+        while True:
+            message = self._codec.decode(self._connection.recv(timeout=end - time.monotonic()))
+            if isinstance(message, kind):
+                return message
+
+
+@contextlib.contextmanager
+def linked(processes: cluster.Cluster, name: str, incarnation: str) -> abc.Iterator[PlayedAgent]:
+    """Open a link to `entry-0` up to its Welcome."""
+    url = processes.get_json("entry-0", "/v1/status")["entry"]["link_url"]
+    with client.connect(url, compression=None) as connection:
+        yield PlayedAgent(connection, name, incarnation)
+
+
+@pytest.fixture
+def entry(processes: cluster.Cluster) -> cluster.Cluster:
+    """Give one entry."""
+    processes.start_entry("entry-0")
+    processes.wait_ready("entry-0")
+    return processes
+
+
+def test_agent_learns_of_an_entry_that_appears_during_its_handshake(entry: cluster.Cluster) -> None:
+    """Guards against an agent that never links to an entry, which then has no workers."""
+    entry.start_entry("entry-1")
+    entry.wait_ready("entry-1")
+
+    def peers() -> int:
+        return len(entry.get_json("entry-0", "/v1/status")["peers"])
+
+    entry.wait_until(lambda: peers() == 1, "the entries are linked")
+    entry.signal("entry-1", signal.SIGSTOP)
+    entry.wait_until(lambda: peers() == 0, "the pause is noticed")
+    with linked(entry, "agent-0", "1") as agent:
+        entry.signal("entry-1", signal.SIGCONT)
+        entry.wait_until(lambda: peers() == 1, "the entries are linked again")
+        agent.send(wire.Resume(0, 8, True))
+
+        told = cast("wire.Entries", agent.receive(wire.Entries))
+
+    assert [info.name for info in agent.welcome.entries] == ["entry-0"]
+    assert [info.name for info in told.entries] == ["entry-0", "entry-1"]
