Keep heartbeats of an agent's old link from replacing the agent

Cause: the heartbeat of a link looked its worker up with find_worker, which takes a hello of another incarnation for a restart. Until the old link of a restarted agent ended, each of its heartbeats gave up the tasks of the new incarnation. Ruled out: results over the old link, they are counted as late. Before: the task is unknown (agent_restarted); after: the job is complete.

--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -27,16 +27,16 @@
         self._events = events
         self._request_numbers = itertools.count(1)
         self._seal_replies: dict[int, asyncio.Future[wire.Sealed]] = {}
+        self._workers: dict[ids.AgentIncarnation, dispatch.RemoteWorker] = {}
 
     async def serve(self, link: wire.Link, hello: wire.AgentHello) -> None:
         """Serve one agent's link until it closes."""
         link.workspace = hello.workspace
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = dispatcher.find_worker(hello)
+        self._workers[hello.incarnation] = worker
         own, welcomed = self._members.own, self._members.alive
-        link.post(
-            wire.Welcome(wire.PROTOCOL_VERSION, own.name, own.incarnation, worker.last_result_number, welcomed)
-        )
+        link.post(wire.Welcome(wire.PROTOCOL_VERSION, own.name, own.incarnation, worker.last_result_number, welcomed))
         resume = await link.receive()
         if not isinstance(resume, wire.Resume):
             raise exceptions.ProtocolError("Resume expected")
@@ -49,13 +49,15 @@
                 self._take(dispatcher, worker, await link.receive())
         finally:
             dispatcher.detach(worker, link)
+            if worker.link is None:
+                self._workers.pop(hello.incarnation, None)
             self._events.record_state("agent_unlinked", agent=hello.name, incarnation=hello.incarnation)
 
     def heartbeat(self, hello: wire.AgentHello) -> wire.Message:
         """Return the heartbeat for an agent's link."""
         dispatcher = self._service.dispatcher(hello.workspace)
-        worker = dispatcher.find_worker(hello)
-        return wire.Heartbeat(worker.last_result_number, dispatcher.queued_count)
+        worker = self._workers.get(hello.incarnation)
+        return wire.Heartbeat(worker.last_result_number if worker else 0, dispatcher.queued_count)
 
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -4,13 +4,17 @@
 import signal
 import time
 from collections import abc
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import pytest
 from websockets.sync import client
 
 from cactusgauge import ids, wire
 from emulator import cluster
+from tests.system import caller
+
+if TYPE_CHECKING:
+    import concurrent.futures
 
 TIMEOUT_S = 20.0
 
@@ -81,3 +85,24 @@
 
     assert [info.name for info in agent.welcome.entries] == ["entry-0"]
     assert [info.name for info in told.entries] == ["entry-0", "entry-1"]
+
+
+def test_old_link_of_a_restarted_agent_changes_nothing(
+    entry: cluster.Cluster, background: "concurrent.futures.ThreadPoolExecutor"
+) -> None:
+    """Guards against tasks of a restarted agent that are given up because its old link has not ended yet."""
+    each = caller.Caller(entry["entry-0"].http_url)
+    session = each.open_session()
+    with linked(entry, "agent-0", "1") as old, linked(entry, "agent-0", "2") as new:
+        old.send(wire.Resume(0, 0, False))
+        new.send(wire.Resume(0, 8, True))
+        job = background.submit(each.submit, session, 1, caller.job_body(1))
+        assign = cast("wire.Assign", new.receive(wire.Assign))
+        old.receive(wire.Heartbeat)
+        start = assign.starts[0]
+        outcome = wire.Outcome(start.session, start.number, start.task, "completed", "", b"done", 1.0)
+        new.send(wire.Results(1, assign.number, 8, [outcome]))
+        answer = job.result()
+
+    assert answer.body["state"] == "complete", answer
+    assert caller.results(answer) == ["done"]
