Count a backend server's lease from the grant, not from the renewal

Cause: a renewal that waited in the socket of a paused agent renewed the lease for 3 s from the moment it was read. Ruled out: the check at the start, it used the monotonic clock; the links, the other victims of the test got no late start. The reply to an announcement now carries the time of the grant, the next announcement repeats it, and the lease runs from there; a new lease is valid from its first renewal on. A limit on the agent's pauses was ruled out as it would miss pauses below the limit.

--- a/src/cactusgauge/agent/backend_server_lease.py
+++ b/src/cactusgauge/agent/backend_server_lease.py
@@ -22,7 +22,9 @@
     """Holds the lease of the one backend server beside the agent.
 
     Validity is checked at the moment of use, on the monotonic clock, so that an agent that was paused does not act on
-    an expired lease.
+    an expired lease. A lease runs from the grant that the server repeats in its announcement, not from the arrival of
+    the announcement: one that waited while the agent was paused proves only that the server was there before. A new
+    lease is therefore valid only from its first renewal on.
     """
 
     def __init__(self) -> None:
@@ -35,15 +37,27 @@
             return None
         return self._lease
 
-    def announce(self, name: str, url: str, lease_id: ids.LeaseId | None, ttl_s: float = DEFAULT_TTL_S) -> Lease:
-        """Renew the lease of `lease_id`, or grant a new one if it is not the valid one."""
-        current = self.valid
-        expires_at = asyncio.get_running_loop().time() + min(max(ttl_s, MIN_TTL_S), DEFAULT_TTL_S)
-        if current is not None and current.id == lease_id and current.url == url:
-            self._lease = current._replace(expires_at=expires_at)
-        else:
-            self._lease = Lease(ids.new_lease_id(), name, url, expires_at)
-        return self._lease
+    def announce(
+        self,
+        name: str,
+        url: str,
+        lease_id: ids.LeaseId | None,
+        granted_at: float | None,
+        ttl_s: float = DEFAULT_TTL_S,
+    ) -> Lease:
+        """Renew the lease of `lease_id`, or grant a new one if it is not the current one.
+
+        `granted_at` is the loop time of the last grant that the server received.
+        """
+        now = asyncio.get_running_loop().time()
+        current = self._lease
+        if current is None or current.id != lease_id or current.url != url:
+            current = Lease(ids.new_lease_id(), name, url, now)
+        if current.id == lease_id and granted_at is not None and granted_at <= now:
+            expires_at = granted_at + min(max(ttl_s, MIN_TTL_S), DEFAULT_TTL_S)
+            current = current._replace(expires_at=max(current.expires_at, expires_at))
+        self._lease = current
+        return current
 
     def leave(self, lease_id: ids.LeaseId) -> bool:
         """End a lease; return False if it is not the current one."""
--- a/src/cactusgauge/agent/backend_server_resource.py
+++ b/src/cactusgauge/agent/backend_server_resource.py
@@ -1,5 +1,6 @@
 """HTTP resource through which the backend server announces itself to its agent."""
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pydantic
@@ -16,7 +17,7 @@
 
 
 class Announcement(pydantic.BaseModel):
-    """Body of an announcement; `lease` is the id of the lease to renew."""
+    """Body of an announcement; `lease` and `granted_s` repeat the agent's last reply."""
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -24,6 +25,7 @@
     url: str = pydantic.Field(pattern=r"^http://[0-9.:\[\]a-fA-F]+(/.*)?$")
     ttl_ms: int = pydantic.Field(default=3000, ge=1)
     lease: ids.LeaseId | None = None
+    granted_s: float | None = None
 
 
 class BackendServerResource:
@@ -50,10 +52,14 @@
             response.media = {"code": "bad_request", "message": str(error).replace("\n", "; "), "ran": "nothing"}
             return
         granted = self._lease.announce(
-            announcement.name, announcement.url, announcement.lease, announcement.ttl_ms / MILLISECONDS_PER_SECOND
+            announcement.name,
+            announcement.url,
+            announcement.lease,
+            announcement.granted_s,
+            announcement.ttl_ms / MILLISECONDS_PER_SECOND,
         )
         self._controller.refresh()
-        response.media = {"lease": granted.id}
+        response.media = {"lease": granted.id, "granted_s": asyncio.get_running_loop().time()}
 
     async def on_delete(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
         """End the lease given by `?lease=ID`; the server gets no new work from now on."""
--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -112,7 +112,7 @@
 
     async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         """Change the faults and the announcements."""
-        change = await request.get_media()
+        change = json.loads(await request.stream.read())
         self._faults = Faults(**change.get("faults", {}))
         self._announcing = Announcing(change.get("announcing", "renew"))
         response.media = change
@@ -155,6 +155,7 @@
 async def _announce(server: BackendServer, name: str, url: str, agent_url: str) -> None:
     announce_url = f"{agent_url}{backend_server_resource.BACKEND_SERVER_PATH}"
     shown = Announcing.RENEW
+    granted_s: float | None = None
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
         try:
             while True:
@@ -163,12 +164,16 @@
                     server.write_journal(shown.value)
                     if shown is Announcing.LEAVE:
                         await _leave(server, session, announce_url)
-                body = {"name": name, "url": url, "lease": server.lease or None}
+                body = {"name": name, "url": url, "lease": server.lease or None, "granted_s": granted_s}
+                is_new = False
                 if shown is Announcing.RENEW:
                     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                         async with session.put(announce_url, json=body) as response:
-                            server.lease = (await response.json())["lease"]
-                await asyncio.sleep(RENEW_S)
+                            grant = await response.json()
+                        is_new = grant["lease"] != server.lease
+                        server.lease, granted_s = grant["lease"], grant["granted_s"]
+                if not is_new:  # a new lease is valid from its first renewal on
+                    await asyncio.sleep(RENEW_S)
         finally:
             await _leave(server, session, announce_url)
 
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -54,7 +54,7 @@
 class Cluster:
     """Processes of one test; all are ended on exit, by their process ids.
 
-    With `networked`, entries and backend servers are reached by the other processes through `network`.
+    With `networked`, entries are reached by the other processes through `network`.
     """
 
     def __init__(self, directory: pathlib.Path, workspace: str = "cheese", networked: bool = False) -> None:
@@ -126,11 +126,13 @@
         }
         return self._start_daemon(name, document)
 
-    def start_backend_server(self, name: str, agent: str, *options: str) -> ProcessHandle:
-        """Start a backend server stand-in beside an agent."""
+    def start_backend_server(self, name: str, agent: str, *options: str, networked: bool = False) -> ProcessHandle:
+        """Start a backend server stand-in beside an agent, on request behind `network`."""
         port = free_port()
         arguments = ["--name", name, "--port", str(port), "--agent-url", self._handles[agent].http_url]
-        arguments += ["--announced-port", str(self._reached_port(name, port)), "--journal", str(self._journal(name))]
+        arguments += ["--journal", str(self._journal(name))]
+        if networked:
+            arguments += ["--announced-port", str(self._network.listen(name, port))]
         command = [sys.executable, "-m", "emulator.backend_server", *arguments, *options]
         return self._start(name, command, f"http://{HOST}:{port}")
 
--- a/tests/system/caller.py
+++ b/tests/system/caller.py
@@ -19,8 +19,9 @@
 class Caller:
     """One caller of a workspace at one entry."""
 
-    def __init__(self, entry_url: str, workspace: str = "cheese") -> None:
+    def __init__(self, entry_url: str, workspace: str = "cheese", headers: dict[str, str] | None = None) -> None:
         self._base = f"{entry_url}/v1/workspaces/{workspace}/sessions"
+        self._headers = headers or {}
 
     def open_session(self) -> str:
         """Open a session and return its id."""
@@ -43,7 +44,7 @@
 
     def request(self, method: str, path: str, body: bytes | None = None) -> Response:
         """Send one request."""
-        request = urllib.request.Request(f"{self._base}{path}", method=method, data=body)
+        request = urllib.request.Request(f"{self._base}{path}", method=method, data=body, headers=self._headers)
         try:
             with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
                 return Response(response.status, json.load(response))
@@ -59,6 +60,14 @@
     return json.dumps({"tasks": tasks, **extra}).encode()
 
 
+def fee_body(count: int, run_ms: float = 50, tag: str = "fee", **extra: Any) -> bytes:
+    """Return the body of a job that charges fees: no task may run twice."""
+    body = json.loads(job_body(count, run_ms, tag, **extra))
+    return json.dumps(
+        {**body, "tasks": [{**task, "kind": "fee-charge", "idempotent": False} for task in body["tasks"]]}
+    ).encode()
+
+
 def results(response: Response) -> list[str]:
     """Return the results of all tasks in order."""
     return [task["result"] for task in response.body["tasks"]]
--- a/tests/system/checks.py
+++ b/tests/system/checks.py
@@ -9,18 +9,30 @@
 if TYPE_CHECKING:
     from emulator import cluster
 
+LEAVING_BOUND_S = 3.0
+
 
 def check_answer(
-    processes: "cluster.Cluster", response: caller.Response, session: str, number: int, count: int, tag: str = "r"
+    processes: "cluster.Cluster",
+    response: caller.Response,
+    session: str,
+    number: int,
+    count: int,
+    tag: str = "r",
+    starts: dict[str, int] | None = None,
 ) -> dict[str, int]:
-    """Check that an answer is whole, the caller's own and truthful; return how many tasks ended in each state."""
+    """Check that an answer is whole, the caller's own and truthful; return how many tasks ended in each state.
+
+    `starts` are the starts of all jobs, if they were read before.
+    """
     body = response.body
     assert response.status == 200, response
     assert (body["session"], body["job"]) == (session, number)
     assert [task["index"] for task in body["tasks"]] == list(range(count))
     states = [task["state"] for task in body["tasks"]]
     assert (body["state"] == "complete") == (set(states) == {"completed"}), body
-    starts = processes.starts(f"{session}/{number}/")
+    if starts is None:
+        starts = processes.starts(f"{session}/{number}/")
     for task in body["tasks"]:
         started = starts.get(f"{session}/{number}/{task['index']}", 0)
         assert started in {"completed": {1}, "failed": {1}, "not_run": {0}, "unknown": {0, 1}}[task["state"]], task
@@ -40,10 +52,10 @@
     assert not repeated, json.dumps(repeated)
 
 
-def check_no_start_after(processes: "cluster.Cluster", server: str, since: float, bound_s: float = 3.0) -> None:
-    """Check that a backend server was given no start later than `bound_s` after the monotonic time `since`."""
+def check_no_start_after(processes: "cluster.Cluster", server: str, since: float) -> None:
+    """Check that a backend server was given no start later than LEAVING_BOUND_S after the monotonic time `since`."""
     late = [event["at"] - since for event in processes.journal(server) if event["event"] in ("start", "refused")]
-    assert not [each for each in late if each > bound_s], f"starts {max(late):.3f} s after the server left"
+    assert not [each for each in late if each > LEAVING_BOUND_S], f"start {max(late):.3f} s after {server} left"
 
 
 def wait_started(processes: "cluster.Cluster", session: str, number: int, count: int = 1) -> None:
--- /dev/null
+++ b/tests/system/test_leaving.py
@@ -0,0 +1,103 @@
+"""A backend server that leaves or goes silent gets no start after 3 s (G6)."""
+
+import signal
+import time
+from collections import abc
+
+import pytest
+
+from emulator import cluster
+from tests.system import checks, load
+
+ENTRIES = ["entry-0", "entry-1"]
+FAULT_S = 3.5  # longer than the bound, so that work held up by the fault would arrive too late
+OBSERVED_S = 6.0
+STEADY = 0
+CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, KILLED, TERMINATED, PLAIN = range(1, 7)
+VICTIMS = (CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, KILLED, TERMINATED, PLAIN)
+
+
+@pytest.fixture
+def processes(tmp_path_factory: pytest.TempPathFactory) -> abc.Iterator[cluster.Cluster]:
+    """Give two entries and a worker for each fault, all of them under load, and check the answers at the end."""
+    with cluster.Cluster(tmp_path_factory.mktemp("leaving"), networked=True) as started:
+        for name in ENTRIES:
+            started.start_entry(name)
+        for number in (STEADY, *VICTIMS):
+            started.start_worker(number)
+        started.wait_ready(*ENTRIES)
+        for name in ENTRIES:
+            started.wait_linked(name, 1 + len(VICTIMS))
+        with load.Load(started, ENTRIES, callers=16, tasks=10, run_ms=200) as running:
+            for number in VICTIMS:
+                started.wait_until(
+                    lambda number=number: len(started.journal(f"server-{number}")) > 8, f"server-{number} has work"
+                )
+            yield started
+            assert running.finish()["complete"]
+
+
+def changed_at(processes: cluster.Cluster, number: int, event: str) -> float:
+    """Wait until a server recorded a change of its announcements and return the monotonic time of it."""
+
+    def find() -> list[float]:
+        return [line["at"] for line in processes.journal(f"server-{number}") if line["event"] == event]
+
+    processes.control(f"server-{number}", announcing=event)
+    processes.wait_until(lambda: bool(find()), f"server-{number}: {event}")
+    return find()[-1]
+
+
+def observe(processes: cluster.Cluster, since: dict[int, float]) -> None:
+    """Watch for OBSERVED_S and check that no victim got a start after the bound, while the steady server did.
+
+    No victim's agent may take work either, as it is left to the placement whether an agent that would is given any.
+    """
+    others = len(processes.journal(f"server-{STEADY}"))
+    while time.monotonic() < max(since.values()) + OBSERVED_S:
+        over = [number for number, at in since.items() if time.monotonic() > at + checks.LEAVING_BOUND_S]
+        ready = [number for number in over if processes.get_status(f"agent-{number}", "/readyz") == 200]
+        assert not ready, f"agents {ready} take work"
+        time.sleep(cluster.POLL_S)
+    for number, at in since.items():
+        checks.check_no_start_after(processes, f"server-{number}", at)
+    assert len(processes.journal(f"server-{STEADY}")) > others
+
+
+def wait_fault(since: dict[int, float]) -> None:
+    """Let a fault last for FAULT_S."""
+    time.sleep(max(0.0, max(since.values()) + FAULT_S - time.monotonic()))
+
+
+@pytest.mark.parametrize("event", ["leave", "silent"])
+def test_server_gets_no_start_after_it_left(processes: cluster.Cluster, event: str) -> None:
+    """Guards against late starts: held up on a link or in a paused agent, or under a lease renewed too late."""
+    for entry in ENTRIES:
+        processes.network.block(f"agent-{CUT_TO_ENTRIES}", entry)
+        processes.network.block(entry, f"agent-{CUT_TO_AGENT}")
+    processes.signal(f"agent-{PAUSED}", signal.SIGSTOP)
+    since = {TERMINATED: time.monotonic(), KILLED: time.monotonic()}
+    processes.signal(f"server-{TERMINATED}", signal.SIGTERM)
+    processes.signal(f"agent-{KILLED}", signal.SIGKILL)
+    time.sleep(0.7)  # a renewal waits at the paused agent
+    since |= {number: changed_at(processes, number, event) for number in (CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, PLAIN)}
+    wait_fault(since)
+    processes.network.heal()
+    processes.signal(f"agent-{PAUSED}", signal.SIGCONT)
+
+    observe(processes, since)
+    assert processes.wait_exit(f"server-{TERMINATED}") == 0
+
+
+@pytest.mark.parametrize("paused", [ENTRIES[:1], ENTRIES])
+@pytest.mark.parametrize("event", ["leave", "silent"])
+def test_entries_paused_while_a_server_left(processes: cluster.Cluster, paused: list[str], event: str) -> None:
+    """Guards against starts that a paused entry sends, or had sent, to a server that left meanwhile."""
+    for name in paused:
+        processes.signal(name, signal.SIGSTOP)
+    since = {number: changed_at(processes, number, event) for number in (PLAIN, PAUSED)}
+    wait_fault(since)
+    for name in paused:
+        processes.signal(name, signal.SIGCONT)
+
+    observe(processes, since)
--- a/tests/system/test_owner_faults.py
+++ b/tests/system/test_owner_faults.py
@@ -1,7 +1,6 @@
 """Jobs whose owner fails, resubmitted to another entry (G1, G2, G4, G5)."""
 
 import concurrent.futures
-import json
 import pathlib
 import signal
 from collections import abc
@@ -38,14 +37,6 @@
     return session, owner, [name for name in names if name != owner]
 
 
-def fee_body(count: int, run_ms: float) -> bytes:
-    """Return the body of a job that charges fees: no task may run twice."""
-    body = json.loads(caller.job_body(count, run_ms, tag="fee"))
-    return json.dumps(
-        {"tasks": [{**task, "kind": "fee-charge", "idempotent": False} for task in body["tasks"]]}
-    ).encode()
-
-
 def resubmit(
     processes: cluster.Cluster,
     background: concurrent.futures.Executor,
@@ -71,7 +62,7 @@
     session, owner, others = open_session(network)
 
     answers = resubmit(
-        network, background, [owner, *others, owner, *others], session, fee_body(TASKS, 50), TASKS, "fee"
+        network, background, [owner, *others, owner, *others], session, caller.fee_body(TASKS, 50), TASKS, "fee"
     )
 
     assert all(answer.body == answers[0].body for answer in answers)
@@ -84,7 +75,7 @@
 ) -> None:
     """Guards against a second start, or a partial answer, when two entries recover the job of a killed owner."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 300)
+    body = caller.fee_body(TASKS, 300)
     first = background.submit(caller.Caller(network[owner].http_url).submit, session, 1, body)
     checks.wait_started(network, session, 1)
     network.signal(owner, signal.SIGKILL)
@@ -107,7 +98,7 @@
 ) -> None:
     """Guards against losing a complete answer that the agents still hold."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 20)
+    body = caller.fee_body(TASKS, 20)
     first = caller.Caller(network[owner].http_url).submit(session, 1, body)
     network.signal(owner, signal.SIGKILL)
     network.wait_exit(owner)
@@ -121,7 +112,7 @@
 def test_owner_paused_and_resumed(network: cluster.Cluster, background: concurrent.futures.ThreadPoolExecutor) -> None:
     """Guards against an owner that starts queued tasks after another entry answered for it."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 300)
+    body = caller.fee_body(TASKS, 300)
     first = background.submit(caller.Caller(network[owner].http_url).submit, session, 1, body, 60)
     checks.wait_started(network, session, 1)
     network.signal(owner, signal.SIGSTOP)
@@ -144,7 +135,7 @@
 ) -> None:
     """Guards against two starts when the owner and a recovering entry both believe that they serve the job."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 300)
+    body = caller.fee_body(TASKS, 300)
     first = background.submit(caller.Caller(network[owner].http_url).submit, session, 1, body, 60)
     checks.wait_started(network, session, 1)
     network.network.cut(owner, *others, "agent-0", "agent-1")
@@ -163,7 +154,7 @@
 ) -> None:
     """Guards against a start by the owner of a session that another entry, out of its sight, recovered."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 300)
+    body = caller.fee_body(TASKS, 300)
     first = background.submit(caller.Caller(network[owner].http_url).submit, session, 1, body, 60)
     checks.wait_started(network, session, 1)
     network.network.cut(owner, *others)
@@ -179,7 +170,7 @@
 ) -> None:
     """Guards against a needless recovery, which would fail a job that its owner completes."""
     session, owner, others = open_session(network)
-    body = fee_body(TASKS, 300)
+    body = caller.fee_body(TASKS, 300)
     first = background.submit(caller.Caller(network[owner].http_url).submit, session, 1, body, 60)
     checks.wait_started(network, session, 1)
     network.network.cut(owner, others[0])
