--- /dev/null
+++ b/tests/system/test_refusals.py
@@ -0,0 +1,119 @@
+"""Refusals: what is reported as not run was seen by no backend server (G4)."""
+
+import concurrent.futures
+import signal
+from collections import abc
+
+import pytest
+
+from emulator import cluster
+from tests.system import caller, checks
+
+ENTRY = "entry-0"
+
+
+@pytest.fixture(scope="module")
+def processes(tmp_path_factory: pytest.TempPathFactory) -> abc.Iterator[cluster.Cluster]:
+    """Give one entry; the tests below run in this order and add a worker."""
+    with cluster.Cluster(tmp_path_factory.mktemp("refusals")) as started:
+        started.start_entry(ENTRY)
+        started.wait_ready(ENTRY)
+        yield started
+
+
+@pytest.fixture(scope="module")
+def worker(processes: cluster.Cluster) -> cluster.Cluster:
+    """Give the entry with one worker."""
+    processes.start_worker(0)
+    processes.wait_linked(ENTRY, 1)
+    return processes
+
+
+def submit(processes: cluster.Cluster, deadline_ms: int) -> tuple[str, caller.Response]:
+    """Submit a job of ten tasks of 100 ms in a new session."""
+    each = caller.Caller(processes[ENTRY].http_url)
+    session = each.open_session()
+    return session, each.submit(session, 1, caller.fee_body(10, 100, deadline_ms=deadline_ms))
+
+
+def check_not_run(processes: cluster.Cluster, session: str, response: caller.Response, reason: str) -> None:
+    """Check that all ten tasks are reported as not run for a reason, and that none ran."""
+    ended = checks.check_answer(processes, response, session, 1, 10, "fee")
+    assert ended == {"not_run": 10}
+    assert {task["reason"] for task in response.body["tasks"]} == {reason}
+    checks.check_nothing_ran(processes, session, 1)
+
+
+def test_no_agents(processes: cluster.Cluster) -> None:
+    """Guards against a job that waits for agents without end."""
+    session, response = submit(processes, 500)
+    check_not_run(processes, session, response, "deadline")
+
+
+def test_deadline_passes_while_tasks_are_queued(worker: cluster.Cluster) -> None:
+    """Guards against `not_run` for tasks that were cut off by the deadline while they ran."""
+    each = caller.Caller(worker[ENTRY].http_url)
+    session = each.open_session()
+
+    response = each.submit(session, 1, caller.fee_body(40, 700, deadline_ms=1000))
+
+    ended = checks.check_answer(worker, response, session, 1, 40, "fee")
+    assert ended.get("not_run", 0) >= 24, ended
+    assert ended["completed"] >= 1, ended
+
+
+def test_cancelled_before_and_while_tasks_run(worker: cluster.Cluster) -> None:
+    """Guards against a cancelled task that starts later, and a running one that is reported as not run."""
+    each = caller.Caller(worker[ENTRY].http_url)
+    session = each.open_session()
+    assert each.submit(session, 1, caller.fee_body(40, 300), 0).status == 202
+    checks.wait_started(worker, session, 1)
+
+    ended = checks.check_answer(worker, each.cancel(session, 1, 30), session, 1, 40, "fee")
+
+    assert 1 <= ended["completed"] <= 16, ended
+    assert ended["completed"] + ended["not_run"] == 40
+
+
+def test_no_backend_server(worker: cluster.Cluster) -> None:
+    """Guards against starts at a server that left, and against a claim that tasks ran there."""
+    worker.control("server-0", announcing="leave")
+    worker.wait_until(lambda: not worker.available_workers(ENTRY), "the server left")
+    session, response = submit(worker, 500)
+    check_not_run(worker, session, response, "deadline")
+    worker.control("server-0")
+    worker.wait_linked(ENTRY, 1)
+
+
+def test_draining_agent(worker: cluster.Cluster, background: concurrent.futures.ThreadPoolExecutor) -> None:
+    """Guards against starts at an agent that is being stopped."""
+    worker.start_agent("agent-1")
+    worker.start_backend_server("server-1", "agent-1")
+    worker.wait_linked(ENTRY, 2)
+    each = caller.Caller(worker[ENTRY].http_url)
+    session = each.open_session()
+    job = background.submit(each.submit, session, 1, caller.fee_body(64, 100))
+    checks.wait_started(worker, session, 1)
+    worker.signal("agent-1", signal.SIGTERM)
+
+    assert checks.check_answer(worker, job.result(), session, 1, 64, "fee") == {"completed": 64}
+    assert worker.wait_exit("agent-1") == 0
+
+
+def test_draining_entry(worker: cluster.Cluster, background: concurrent.futures.ThreadPoolExecutor) -> None:
+    """Guards against a job that is refused as draining although it starts, and against losing an accepted one."""
+    each = caller.Caller(worker[ENTRY].http_url)
+    session = each.open_session()
+    job = background.submit(each.submit, session, 1, caller.fee_body(24, 300))
+    checks.wait_started(worker, session, 1)
+    worker.signal(ENTRY, signal.SIGTERM)
+    worker.wait_until(lambda: worker.get_status(ENTRY, "/readyz") == 503, "the entry is draining")
+
+    refused = each.submit(session, 2, caller.fee_body(5))
+    unopened = each.request("POST", "")
+
+    for reply in (refused, unopened):
+        assert (reply.status, reply.body["code"], reply.body["ran"]) == (503, "draining", "nothing")
+    assert checks.check_answer(worker, job.result(), session, 1, 24, "fee") == {"completed": 24}
+    checks.check_nothing_ran(worker, session, 2)
+    assert worker.wait_exit(ENTRY) == 0
