Hand over sessions that were taken over before

Cause: an entry that stopped handed over only its own sessions, so those that it had taken over from another one were lost when entries were replaced one after the other. Ruled out: the caller's request, which reached an entry that asked its peers. Before: after the third replacement the answer came from the agents' records (recovered), which end after 120 s, and new numbers of such a session would be answered as unknown; after: the successor's successor answers it, and refuses new numbers as session_closed. The bound on bytes of the store now counts every session, and a session that arrives twice once.

--- a/src/cactusgauge/entry/hand_over_store.py
+++ b/src/cactusgauge/entry/hand_over_store.py
@@ -3,6 +3,7 @@
 from cactusgauge import exceptions, ids, wire
 
 MAX_HELD_BYTES = 32 * 1024 * 1024
+SESSION_OVERHEAD_BYTES = 300  # makes the bound cover sessions without answers
 
 
 class HandOverStore:
@@ -16,6 +17,9 @@
     def add(self, sessions: list[wire.HandOverSession]) -> None:
         """Hold sessions, the oldest out first when the bound on bytes is passed."""
         for session in sessions:
+            replaced = self._sessions.pop(session.session, None)
+            if replaced is not None:
+                self._held_bytes -= self._size(replaced)
             self._sessions[session.session] = session
             self._held_bytes += self._size(session)
         while self._held_bytes > MAX_HELD_BYTES and len(self._sessions) > 1:
@@ -34,6 +38,17 @@
         """Whether a session was taken over."""
         return session in self._sessions
 
+    def held_by(self, successor: ids.EntryIncarnation) -> dict[ids.EntryIncarnation, list[wire.HandOverSession]]:
+        """Return the sessions that are held here, by stopped owner, for the owners that `successor` answers for."""
+        held: dict[ids.EntryIncarnation, list[wire.HandOverSession]] = {
+            owner: [] for owner, answering in self._successors.items() if answering == successor
+        }
+        for session_id, session in self._sessions.items():
+            owner = ids.owner_of(session_id)
+            if owner in held:
+                held[owner].append(session)
+        return held
+
     def find(self, job: ids.JobId, digest: bytes | None) -> wire.HandOverJob:
         """Return a finished job; raise a `RequestError` for any number not held, as none of those ran later."""
         session = self._sessions[job.session]
@@ -48,4 +63,4 @@
 
     @staticmethod
     def _size(session: wire.HandOverSession) -> int:
-        return sum(len(job.answer) for job in session.jobs)
+        return SESSION_OVERHEAD_BYTES + sum(len(job.answer) for job in session.jobs)
--- a/src/cactusgauge/entry/peer_links.py
+++ b/src/cactusgauge/entry/peer_links.py
@@ -80,21 +80,24 @@
             links[-1].post(message)
 
     async def hand_over(self, sessions: list[wire.HandOverSession]) -> wire.EntryInfo | None:
-        """Hand all sessions to one peer and tell the others; return the peer, or None if none took them."""
-        own = self._members.own
+        """Hand all sessions, own and taken over, to one peer and tell the others; return the peer, if one took them."""
+        own = self._members.own.incarnation
+        by_owner = {own: sessions, **self._hand_overs.held_by(own)}
         for successor in self._members.alive_peers:
             if successor.name not in self._links or not successor.serving:
                 continue
             link = self._links[successor.name][-1]
-            accepted = self._accepted.setdefault(own.incarnation, asyncio.Event())
-            for part, last in self._parts(sessions):
-                link.post(wire.HandOver(own.incarnation, part, last))
+            accepted = [self._accepted.setdefault(owner, asyncio.Event()) for owner in by_owner]
+            for owner, owned in by_owner.items():
+                for part, last in self._parts(owned):
+                    link.post(wire.HandOver(owner, part, last))
             try:
                 async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
-                    await accepted.wait()
+                    await asyncio.gather(*(event.wait() for event in accepted))
             except TimeoutError:
                 continue
-            self.broadcast(wire.HandOverDone(own.incarnation, successor.incarnation))
+            for owner in by_owner:
+                self.broadcast(wire.HandOverDone(owner, successor.incarnation))
             await self._drain_links()
             return successor
         return None
@@ -160,10 +163,9 @@
                     self._events.record_state("hand_over_received", incarnation=message.incarnation)
                     link.post(wire.HandOverDone(message.incarnation, own))
             case wire.HandOverDone():
-                if message.incarnation == self._members.own.incarnation:
-                    self._accepted.setdefault(message.incarnation, asyncio.Event()).set()
-                else:
-                    self._hand_overs.close(message.incarnation, message.successor)
+                if message.incarnation in self._accepted:
+                    self._accepted[message.incarnation].set()
+                self._hand_overs.close(message.incarnation, message.successor)
             case _:
                 raise exceptions.ProtocolError(f"unexpected {type(message).__name__} from an entry")
 
