--- a/tests/system/checks.py
+++ b/tests/system/checks.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from emulator import cluster
 
+LEAVING_BOUND_S = 3.0
+
 
 def check_answer(
     processes: "cluster.Cluster",
@@ -50,10 +52,10 @@
     assert not repeated, json.dumps(repeated)
 
 
-def check_no_start_after(processes: "cluster.Cluster", server: str, since: float, bound_s: float = 3.0) -> None:
-    """Check that a backend server was given no start later than `bound_s` after the monotonic time `since`."""
+def check_no_start_after(processes: "cluster.Cluster", server: str, since: float) -> None:
+    """Check that a backend server was given no start later than LEAVING_BOUND_S after the monotonic time `since`."""
     late = [event["at"] - since for event in processes.journal(server) if event["event"] in ("start", "refused")]
-    assert not [each for each in late if each > bound_s], f"starts {max(late):.3f} s after the server left"
+    assert not [each for each in late if each > LEAVING_BOUND_S], f"start {max(late):.3f} s after {server} left"
 
 
 def wait_started(processes: "cluster.Cluster", session: str, number: int, count: int = 1) -> None:
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -10,108 +10,94 @@
 from tests.system import checks, load
 
 ENTRIES = ["entry-0", "entry-1"]
-OBSERVED_S = 5.0  # the bound of 3 s, and time in which a late start would be seen
+FAULT_S = 3.5  # longer than the bound, so that work held up by the fault would arrive too late
+OBSERVED_S = 6.0
+STEADY = 0
+CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, KILLED, TERMINATED, PLAIN = range(1, 7)
+VICTIMS = (CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, KILLED, TERMINATED, PLAIN)
 
 
-@pytest.fixture(scope="module")
-def shared(tmp_path_factory: pytest.TempPathFactory) -> abc.Iterator[cluster.Cluster]:
-    """Give two entries and two workers whose links can be cut."""
+@pytest.fixture
+def processes(tmp_path_factory: pytest.TempPathFactory) -> abc.Iterator[cluster.Cluster]:
+    """Give two entries and a worker for each fault, all of them under load, and check the answers at the end."""
     with cluster.Cluster(tmp_path_factory.mktemp("leaving"), networked=True) as started:
         for name in ENTRIES:
             started.start_entry(name)
-        for number in range(2):
+        for number in (STEADY, *VICTIMS):
             started.start_worker(number)
         started.wait_ready(*ENTRIES)
-        yield started
+        for name in ENTRIES:
+            started.wait_linked(name, 1 + len(VICTIMS))
+        with load.Load(started, ENTRIES, callers=16, tasks=10, run_ms=200) as running:
+            for number in VICTIMS:
+                started.wait_until(
+                    lambda number=number: len(started.journal(f"server-{number}")) > 8, f"server-{number} has work"
+                )
+            yield started
+            assert running.finish()["complete"]
 
 
-@pytest.fixture
-def processes(shared: cluster.Cluster) -> abc.Iterator[cluster.Cluster]:
-    """Give the shared processes under load that uses both workers, without any fault."""
-    shared.network.heal()
-    for number in range(2):
-        for name in (f"agent-{number}", f"server-{number}"):
-            if shared[name].process.poll() is not None:
-                shared.restart(name)
-        shared.wait_until(
-            lambda name=f"server-{number}": shared.get_status(name, "/report") == 200, "the server serves"
-        )
-        shared.control(f"server-{number}")
-    for name in ENTRIES:
-        shared.wait_linked(name, 2)
-    with load.Load(shared, ENTRIES, callers=6, tasks=10, run_ms=100) as running:
-        before = len(shared.journal("server-1"))
-        shared.wait_until(lambda: len(shared.journal("server-1")) > before + 20, "server-1 has work")
-        yield shared
-        shared.network.heal()
-        for name in [*ENTRIES, "agent-1", "server-1"]:
-            shared.signal(name, signal.SIGCONT)
-        assert running.finish()["complete"]
-
-
-def changed_at(processes: cluster.Cluster, event: str) -> float:
-    """Wait until server-1 recorded a change of its announcements and return the monotonic time of it."""
+def changed_at(processes: cluster.Cluster, number: int, event: str) -> float:
+    """Wait until a server recorded a change of its announcements and return the monotonic time of it."""
 
     def find() -> list[float]:
-        return [line["at"] for line in processes.journal("server-1") if line["event"] == event]
+        return [line["at"] for line in processes.journal(f"server-{number}") if line["event"] == event]
 
-    known = len(find())
-    processes.control("server-1", announcing=event)
-    processes.wait_until(lambda: len(find()) > known, f"server-1: {event}")
+    processes.control(f"server-{number}", announcing=event)
+    processes.wait_until(lambda: bool(find()), f"server-{number}: {event}")
     return find()[-1]
 
 
-def observe(processes: cluster.Cluster, since: float) -> None:
-    """Watch for OBSERVED_S and check that server-1 got no start after the bound, while server-0 did."""
-    others = len(processes.journal("server-0"))
-    time.sleep(max(0.0, since + OBSERVED_S - time.monotonic()))
-    checks.check_no_start_after(processes, "server-1", since)
-    assert len(processes.journal("server-0")) > others
+def observe(processes: cluster.Cluster, since: dict[int, float]) -> None:
+    """Watch for OBSERVED_S and check that no victim got a start after the bound, while the steady server did.
 
-
-@pytest.mark.parametrize("event", ["leave", "silent"])
-def test_server_leaves_or_goes_silent(processes: cluster.Cluster, event: str) -> None:
-    """Guards against work for a server that said that it leaves, or whose renewals stop."""
-    observe(processes, changed_at(processes, event))
+    No victim's agent may take work either, as it is left to the placement whether an agent that would is given any.
+    """
+    others = len(processes.journal(f"server-{STEADY}"))
+    while time.monotonic() < max(since.values()) + OBSERVED_S:
+        over = [number for number, at in since.items() if time.monotonic() > at + checks.LEAVING_BOUND_S]
+        ready = [number for number in over if processes.get_status(f"agent-{number}", "/readyz") == 200]
+        assert not ready, f"agents {ready} take work"
+        time.sleep(cluster.POLL_S)
+    for number, at in since.items():
+        checks.check_no_start_after(processes, f"server-{number}", at)
+    assert len(processes.journal(f"server-{STEADY}")) > others
 
 
-def test_server_is_terminated(processes: cluster.Cluster) -> None:
-    """Guards against work for a server that is being stopped, and against failed jobs because of it."""
-    since = time.monotonic()
-    processes.signal("server-1", signal.SIGTERM)
-    assert processes.wait_exit("server-1") == 0
-    observe(processes, since)
-
-
-def test_agent_killed(processes: cluster.Cluster) -> None:
-    """Guards against another way to a server than its agent."""
-    since = time.monotonic()
-    processes.signal("agent-1", signal.SIGKILL)
-    observe(processes, since)
+def wait_fault(since: dict[int, float]) -> None:
+    """Let a fault last for FAULT_S."""
+    time.sleep(max(0.0, max(since.values()) + FAULT_S - time.monotonic()))
 
 
 @pytest.mark.parametrize("event", ["leave", "silent"])
-@pytest.mark.parametrize("blocked", ["to entries", "to agent"])
-def test_link_cut_in_one_direction(processes: cluster.Cluster, event: str, blocked: str) -> None:
-    """Guards against starts that were held up on a link, or sent by an entry that did not hear of the change."""
+def test_server_gets_no_start_after_it_left(processes: cluster.Cluster, event: str) -> None:
+    """Guards against late starts: held up on a link or in a paused agent, or under a lease renewed too late."""
     for entry in ENTRIES:
-        one, other = ("agent-1", entry) if blocked == "to entries" else (entry, "agent-1")
-        processes.network.block(one, other)
-    since = changed_at(processes, event)
-    time.sleep(max(0.0, since + 3.5 - time.monotonic()))
+        processes.network.block(f"agent-{CUT_TO_ENTRIES}", entry)
+        processes.network.block(entry, f"agent-{CUT_TO_AGENT}")
+    processes.signal(f"agent-{PAUSED}", signal.SIGSTOP)
+    since = {TERMINATED: time.monotonic(), KILLED: time.monotonic()}
+    processes.signal(f"server-{TERMINATED}", signal.SIGTERM)
+    processes.signal(f"agent-{KILLED}", signal.SIGKILL)
+    time.sleep(0.7)  # a renewal waits at the paused agent
+    since |= {number: changed_at(processes, number, event) for number in (CUT_TO_ENTRIES, CUT_TO_AGENT, PAUSED, PLAIN)}
+    wait_fault(since)
     processes.network.heal()
+    processes.signal(f"agent-{PAUSED}", signal.SIGCONT)
+
     observe(processes, since)
+    assert processes.wait_exit(f"server-{TERMINATED}") == 0
 
 
-@pytest.mark.parametrize("paused", [["entry-0"], ENTRIES, ["agent-1"], ["agent-1", "entry-0"]])
+@pytest.mark.parametrize("paused", [ENTRIES[:1], ENTRIES])
 @pytest.mark.parametrize("event", ["leave", "silent"])
-def test_processes_paused_meanwhile(processes: cluster.Cluster, paused: list[str], event: str) -> None:
-    """Guards against starts under a lease that ended, or that was renewed late, while a process was paused."""
+def test_entries_paused_while_a_server_left(processes: cluster.Cluster, paused: list[str], event: str) -> None:
+    """Guards against starts that a paused entry sends, or had sent, to a server that left meanwhile."""
     for name in paused:
         processes.signal(name, signal.SIGSTOP)
-    time.sleep(0.7)  # a renewal is waiting at a paused agent
-    since = changed_at(processes, event)
-    time.sleep(max(0.0, since + 3.5 - time.monotonic()))
+    since = {number: changed_at(processes, number, event) for number in (PLAIN, PAUSED)}
+    wait_fault(since)
     for name in paused:
         processes.signal(name, signal.SIGCONT)
+
     observe(processes, since)
--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -120,3 +120,23 @@
 
     assert not running.interrupted
     assert set(totals) <= {"complete", *load.NEW_SESSION_CODES}, totals
+
+
+def test_two_entries_stopped_at_once(processes: cluster.Cluster) -> None:
+    """Guards against sessions that are handed to an entry that is being stopped as well, and are lost with it."""
+    sessions: dict[str, str] = {}
+    body = caller.fee_body(4, 20)
+    for name in ENTRIES:
+        # An entry that forwards for another one opens the session itself.
+        each = caller.Caller(processes[name].http_url, headers={"Cactusgauge-Hop": "owner"})
+        sessions[name] = each.open_session()
+        assert caller.Caller(processes[name].http_url).submit(sessions[name], 1, body).status == 200
+    for name in ENTRIES[:2]:
+        processes.signal(name, signal.SIGTERM)
+    assert [processes.wait_exit(name) for name in ENTRIES[:2]] == [0, 0]
+
+    last = caller.Caller(processes[ENTRIES[2]].http_url)
+    for session in sessions.values():
+        answer = last.get(session, 1)
+        assert checks.check_answer(processes, answer, session, 1, 4, "fee") == {"completed": 4}
+        assert not answer.body["recovered"]
