Correct the order of starts in a system test and keep listening ports out of the ephemeral range

In a later run test_restart_in_an_outage_serves_only_the_peers_version failed: entry-3, meant to have no peers, was a seed of the entry started after it, and rightly took the state from it. It now starts last; the assertions are the same.

--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -21,16 +22,22 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LISTEN_PORTS = range(10_000, 32_000)
 LOG_NAME = "platform-log"
 TEMPLATE = "standard"
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a TCP port that is free now.
+
+    It is below the range of ports that the system gives to outgoing connections, so that none of these takes it before
+    the process that it is meant for.
+    """
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class ProcessHandle(NamedTuple):
@@ -167,7 +174,11 @@
         end = time.monotonic() + timeout_s
         while not condition():
             if time.monotonic() > end:
-                raise TimeoutError(f"waited {timeout_s} s until {what}; logs are in {self._directory}")
+                ended = {name: each.process.poll() for name, each in self._handles.items()}
+                statuses = {name: status for name, status in ended.items() if status is not None}
+                raise TimeoutError(
+                    f"waited {timeout_s} s until {what}; logs are in {self._directory}; ended processes: {statuses}"
+                )
             time.sleep(POLL_S)
 
     def get_status(self, name: str, path: str) -> int:
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -79,8 +79,8 @@
     processes.set_log_faults(unavailable=True)
     processes["entry-2"].process.kill()
     processes.wait_exit("entry-2")
-    processes.start_entry("entry-3", seeds=[])  # without peers: nothing to serve
     processes.start_entry("entry-2")
+    processes.start_entry("entry-3", seeds=[])  # known to no peer, as it starts last: nothing to serve
     processes.wait_ready("entry-2")
 
     assert version(processes, "entry-2") == published["version"]
