--- a/src/cactusgauge/configuration/config_file.py
+++ b/src/cactusgauge/configuration/config_file.py
@@ -30,11 +30,11 @@
     def __init__(self, path: "pathlib.Path") -> None:
         self._document = settings.YamlDocument(path)
         self._contents = ConfigContents()
-        self._syntax_findings: list[settings.Finding] = []
+        self._syntax_findings = self._document.repeated
         try:
             self._contents = ConfigContents.model_validate(self._document.value)
         except pydantic.ValidationError as error:
-            self._syntax_findings = self._document.findings(error)
+            self._syntax_findings += self._document.findings(error)
 
     @property
     def contents(self) -> ConfigContents:
--- a/src/cactusgauge/settings/settings_loader.py
+++ b/src/cactusgauge/settings/settings_loader.py
@@ -22,14 +22,19 @@
     def load(self) -> daemon_settings.EntrySettings | daemon_settings.AgentSettings:
         """Return the settings; raise `SettingsError` that lists every finding on a line of its own."""
         document = yaml_document.YamlDocument(self._path)
+        findings = document.repeated
         model = ROLES.get(str(document.value.get("role")))
         if model is None:
             found = document.value.get("role", "nothing")
-            raise self._error([document.finding("role", found, "one of entry, agent is expected")])
+            findings.append(document.finding("role", found, "one of entry, agent is expected"))
         try:
-            loaded = model.model_validate(document.value)
+            loaded = (model or daemon_settings.DaemonSettings).model_validate(document.value)
         except pydantic.ValidationError as error:
-            raise self._error(document.findings(error)) from error
+            # Which further settings are known depends on the role.
+            findings += document.findings(error, ignored=None if model else "extra_forbidden")
+            raise self._error(findings) from error
+        if findings:
+            raise self._error(findings)
         assert isinstance(loaded, daemon_settings.EntrySettings | daemon_settings.AgentSettings)
         return loaded
 
--- a/src/cactusgauge/settings/yaml_document.py
+++ b/src/cactusgauge/settings/yaml_document.py
@@ -20,6 +20,7 @@
     def __init__(self, path: pathlib.Path) -> None:
         self._path = path
         self._lines: dict[str, int] = {}
+        self._repeated: list[finding.Finding] = []
         self._value = self._read()
 
     @property
@@ -27,8 +28,13 @@
         """The mapping that the file holds."""
         return self._value
 
-    def findings(self, error: "pydantic.ValidationError") -> list[finding.Finding]:
-        """Return one finding for each error of a validation of `value`."""
+    @property
+    def repeated(self) -> list[finding.Finding]:
+        """One finding for each key that is set more than once."""
+        return list(self._repeated)
+
+    def findings(self, error: "pydantic.ValidationError", ignored: str | None = None) -> list[finding.Finding]:
+        """Return one finding for each error of a validation of `value`, but those of the type `ignored`."""
         return [
             self.finding(
                 ".".join(str(part) for part in details["loc"]),
@@ -36,6 +42,7 @@
                 "is not a known setting" if details["type"] == "extra_forbidden" else details["msg"],
             )
             for details in error.errors(include_url=False)
+            if details["type"] != ignored
         ]
 
     def finding(self, path: str, value: object, expected: str) -> finding.Finding:
@@ -52,13 +59,15 @@
             text = self._path.read_text()
             root = yaml.compose(text, Loader=yaml.SafeLoader)
             document = yaml.safe_load(text)
+            self._note_lines(root, "")
         except OSError as error:
             raise exceptions.SettingsError(f"{self._path}: cannot be read: {error.strerror}") from error
-        except (yaml.YAMLError, UnicodeDecodeError) as error:
+        except (yaml.YAMLError, ValueError) as error:  # ValueError: not UTF-8, or a date that does not exist
             raise exceptions.SettingsError(f"{self._path}: is not YAML: {' '.join(str(error).split())}") from error
+        except RecursionError as error:
+            raise exceptions.SettingsError(f"{self._path}: is nested too deeply or contains itself") from error
         if not isinstance(document, dict):
             raise exceptions.SettingsError(f"{self._path}: a mapping of settings is expected")
-        self._note_lines(root, "")
         return document
 
     def _note_lines(self, node: yaml.Node | None, path: str) -> None:
@@ -68,7 +77,10 @@
         if isinstance(node, yaml.MappingNode):
             for key, value in node.value:
                 child = f"{path}.{key.value}" if path else str(key.value)
+                repeated = child in self._lines
                 self._lines[child] = key.start_mark.line + 1
+                if repeated:
+                    self._repeated.append(self.finding(child, key.value, "is set more than once"))
                 self._note_lines(value, child)
         elif isinstance(node, yaml.SequenceNode):
             for index, value in enumerate(node.value):
