--- a/tests/unit/configuration/test_log_config_source.py
+++ b/tests/unit/configuration/test_log_config_source.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cactusgauge import configuration, exceptions, observability
+from cactusgauge import configuration, exceptions, observability, platform
 from emulator import memory_log
 from tests.unit.configuration import builders
 
@@ -158,20 +158,37 @@
     assert state.version == 2
 
 
-async def test_slow_log_is_followed_and_peers_fill_the_gap(log: memory_log.MemoryLog) -> None:
+class SlowPath(platform.LogService):
+    """One reader's path to a log: each request takes `delay_s`."""
+
+    def __init__(self, log: memory_log.MemoryLog) -> None:
+        self._log = log
+        self.delay_s = 0.0
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append after the delay."""
+        await asyncio.sleep(self.delay_s)
+        return await self._log.append(stream, data)
+
+    async def read(self, stream: str, offset: int, limit: int) -> platform.LogPage:
+        """Read after the delay."""
+        await asyncio.sleep(self.delay_s)
+        return await self._log.read(stream, offset, limit)
+
+
+@pytest.mark.parametrize(("has_peer", "wait_s"), [(True, BOUND_S), (False, 20.0)], ids=["with a peer", "alone"])
+async def test_slow_path_to_the_log(log: memory_log.MemoryLog, has_peer: bool, wait_s: float) -> None:
     """Guards against a follower that waits for a slow log although a peer is ahead, or gives up on a slow log."""
     peer = configuration.LogConfigSource(log, "a")
-    async with following(peer):
-        source, alone = configuration.LogConfigSource(log, "b"), configuration.LogConfigSource(log, "c")
-        async with following(source, FakePeers(peer)), following(alone):
-            await asyncio.sleep(1)
-            change_slots(log, 2, 1, "w2")
-            await asyncio.sleep(0.6)
-            log.faults.delay_s = 8.0
-            change_slots(log, 3, 2, "w3")
-            await asyncio.sleep(20)
-            assert builders.slots(alone.current) == 3
-            assert builders.slots(source.current) == 3
+    path = SlowPath(log)
+    source = configuration.LogConfigSource(path, "b")
+    async with following(peer), following(source, FakePeers(peer if has_peer else None)) as in_force:
+        await asyncio.sleep(1)
+        path.delay_s = 8.0
+        await asyncio.sleep(1)
+        change_slots(log, 2, 1, "w2")
+        await asyncio.sleep(wait_s)
+        assert in_force == [1, 2]
 
 
 async def test_trimmed_log_without_a_snapshot_needs_a_peer(log: memory_log.MemoryLog) -> None:
--- a/tests/unit/settings/test_settings_loader.py
+++ b/tests/unit/settings/test_settings_loader.py
@@ -69,6 +69,7 @@
                 (12, "slots"),
                 (13, "7"),
                 (1, "workspaces"),
+                (1, "log_url"),
             },
         ),
         (BAD_ROLE, {(1, "role"), (2, "host"), (3, "http_port"), (1, "name"), (1, "data_centre")}),
