--- a/src/cactusgauge/configuration/__init__.py
+++ b/src/cactusgauge/configuration/__init__.py
@@ -3,7 +3,7 @@
 from cactusgauge.configuration.acceptance_rule import MAX_LAG, AcceptanceRule, BaseVersionRule, Decision
 from cactusgauge.configuration.agent_configuration import AgentConfiguration
 from cactusgauge.configuration.catalogue import Catalogue, Problem
-from cactusgauge.configuration.change_record import ChangeRecord, new_change_id
+from cactusgauge.configuration.change_record import MAX_ID_CHARS, ChangeRecord, new_change_id
 from cactusgauge.configuration.config_file import ConfigFile
 from cactusgauge.configuration.config_log import STREAM, ConfigLog
 from cactusgauge.configuration.config_publisher import ConfigPublisher
@@ -22,6 +22,7 @@
 
 __all__ = [
     "CONFIGURATION_PATH",
+    "MAX_ID_CHARS",
     "MAX_LAG",
     "MAX_SLOTS",
     "STREAM",
--- a/src/cactusgauge/configuration/change_record.py
+++ b/src/cactusgauge/configuration/change_record.py
@@ -10,6 +10,7 @@
 
 FORMAT: Final = 1
 ID_BYTES = 16
+MAX_ID_CHARS = 64  # also of an author
 NO_VERSION = -1  # the base version of a name that never existed
 MAX_OFFSET = 2**53 - 1  # the largest integer that every JSON reader keeps exactly
 
@@ -27,8 +28,8 @@
 
     format: Literal[1] = FORMAT
     kind: Literal["change"] = "change"
-    id: str = pydantic.Field(min_length=1, max_length=64)
-    author: str = pydantic.Field(min_length=1, max_length=64)
+    id: str = pydantic.Field(min_length=1, max_length=MAX_ID_CHARS)
+    author: str = pydantic.Field(min_length=1, max_length=MAX_ID_CHARS)
     through: Offset
     base: dict[str, Offset]
     templates: dict[template_module.Name, template_module.Template | None] = {}
--- a/src/cactusgauge/console/config_commands.py
+++ b/src/cactusgauge/console/config_commands.py
@@ -137,6 +137,12 @@
         return "unknown"
 
 
+def _check_length(context: click.Context, parameter: click.Parameter, value: str | None) -> str | None:
+    if value is not None and not 1 <= len(value) <= configuration.MAX_ID_CHARS:
+        raise click.BadParameter(f"1 to {configuration.MAX_ID_CHARS} characters are expected")
+    return value
+
+
 @click.group()
 def config() -> None:
     """Check, publish and show configuration.
@@ -184,9 +190,18 @@
 
 @config.command()
 @file_argument
-@click.option("--author", default=_user_name, help="Name in the history; your user name by default.")
-@click.option("--base", "reviewed", type=int, help="Version that you looked at; later changes of a name refuse yours.")
-@click.option("--change-id", help="Id of an earlier attempt, to learn what became of it or to repeat it.")
+@click.option(
+    "--author", default=_user_name, callback=_check_length, help="Name in the history; your user name by default."
+)
+@click.option(
+    "--base",
+    "reviewed",
+    type=click.IntRange(min=0),
+    help="Version that you looked at; later changes of a name refuse yours.",
+)
+@click.option(
+    "--change-id", callback=_check_length, help="Id of an earlier attempt, to learn what became of it or to repeat it."
+)
 @timeout_option
 @_with_target
 def publish(
@@ -333,10 +348,10 @@
 def _report_entries(
     target: Target, document: dict[str, Any], text: str, entries: list[configuration.EntryVersion], version: int
 ) -> int:
-    in_force = configuration.are_in_force(entries, version)
+    in_force = configuration.are_in_force(entries, version) if target.entry_urls else None
     document = {**document, "entries": [each._asdict() for each in entries], "in_force_everywhere": in_force}
     _print(target, document, [text, *(_entry_line(each, version) for each in entries)])
-    return 0 if in_force or not target.entry_urls else EXIT_NOT_IN_FORCE
+    return EXIT_NOT_IN_FORCE if in_force is False else 0
 
 
 def _entry_line(entry: configuration.EntryVersion, version: int) -> str:
--- a/tests/unit/configuration/test_config_publisher.py
+++ b/tests/unit/configuration/test_config_publisher.py
@@ -1,31 +1,16 @@
 """Publishing against a log with faults, and against another operator."""
 
 import asyncio
-from collections import abc
 
 import pytest
 
 from cactusgauge import configuration, exceptions
 from emulator import memory_log
-from tests.unit.configuration import builders
+from tests.unit.configuration import builders, naive
 
 pytestmark = pytest.mark.looptime
 
 
-class LastWriteWins(configuration.BaseVersionRule):
-    """Naive: accepts whatever is valid."""
-
-    def decide(
-        self,
-        change: configuration.ChangeRecord,
-        offset: int,
-        versions: abc.Mapping[str, int],
-        problems: abc.Sequence[object],
-    ) -> configuration.Decision:
-        """Accept."""
-        return configuration.Decision(configuration.Outcome.ACCEPTED)
-
-
 @pytest.fixture
 def log() -> memory_log.MemoryLog:
     """Give a log with a template."""
@@ -57,7 +42,9 @@
 
 
 @pytest.mark.parametrize(
-    ("rule", "winners"), [(configuration.BaseVersionRule(), 1), (LastWriteWins(), 2)], ids=["base version", "naive"]
+    ("rule", "winners"),
+    [(configuration.BaseVersionRule(), 1), (naive.LastWriteWins(), 2)],
+    ids=["base version", "naive"],
 )
 async def test_of_two_racing_operators_one_wins(
     log: memory_log.MemoryLog, rule: configuration.AcceptanceRule, winners: int
--- a/tests/unit/configuration/test_config_state.py
+++ b/tests/unit/configuration/test_config_state.py
@@ -1,7 +1,6 @@
 """The aggregate with snapshots and trimming, against a reference that keeps the whole log and forgets nothing."""
 
 import asyncio
-from collections import abc
 from typing import Any, NamedTuple
 
 import hypothesis
@@ -10,7 +9,7 @@
 
 from cactusgauge import configuration, exceptions, ids
 from emulator import memory_log
-from tests.unit.configuration import builders
+from tests.unit.configuration import builders, naive
 
 MAX_LAG = 5  # small, so that short examples reach changes whose ids are forgotten
 WORKSPACES = (ids.WorkspaceName("cheese"), ids.WorkspaceName("crier"))
@@ -74,52 +73,20 @@
         return all(contents.get(f"templates.{entry.template}") for entry in entries)
 
 
-class Naive(NamedTuple):
+class Rules(NamedTuple):
     """The rules under test."""
 
     acceptance: configuration.AcceptanceRule
     snapshots: configuration.SnapshotRule
 
 
-class LastWriteWins(configuration.BaseVersionRule):
-    """Ignores base versions."""
-
-    def decide(
-        self,
-        change: configuration.ChangeRecord,
-        offset: int,
-        versions: abc.Mapping[str, int],
-        problems: abc.Sequence[object],
-    ) -> configuration.Decision:
-        """Accept whatever is valid."""
-        return configuration.Decision(configuration.Outcome.INVALID if problems else configuration.Outcome.ACCEPTED)
-
-
-class ForgetfulRule(configuration.BaseVersionRule):
-    """Keeps no ids."""
-
-    def is_settled(self, verdict: configuration.Verdict, offset: int) -> bool:
-        """Forget at once."""
-        return True
-
-
-class SnapshotAtOwnOffset(configuration.SnapshotRule):
-    """Takes a snapshot's state as of where the snapshot stands, as if it had no through offset."""
-
-    def usable(
-        self, snapshot: configuration.StateDocument, offset: int, first_offset: int
-    ) -> configuration.StateDocument | None:
-        """Use every snapshot."""
-        return snapshot.model_copy(update={"through": offset - 1})
-
-
-SOUND = Naive(configuration.BaseVersionRule(MAX_LAG), configuration.ThroughOffsetRule())
+SOUND = Rules(configuration.BaseVersionRule(MAX_LAG), configuration.ThroughOffsetRule())
 
 
 class World:
     """A log, its reference, the states for late snapshots and one reader that may be restarted."""
 
-    def __init__(self, rules: Naive) -> None:
+    def __init__(self, rules: Rules) -> None:
         self._rules = rules
         self._log = memory_log.MemoryLog()
         self._reference = Reference()
@@ -201,7 +168,7 @@
         assert (state.configuration is None) == (not reference.versions[count])
 
 
-def agrees(rules: Naive, steps: list[tuple[Any, ...]]) -> bool:
+def agrees(rules: Rules, steps: list[tuple[Any, ...]]) -> bool:
     """Return whether rules agree with the reference in every step."""
     try:
         asyncio.run(World(rules).run(steps))
@@ -220,13 +187,13 @@
 @pytest.mark.parametrize(
     "rules",
     [
-        SOUND._replace(acceptance=LastWriteWins(MAX_LAG)),
-        SOUND._replace(acceptance=ForgetfulRule(MAX_LAG)),
-        SOUND._replace(snapshots=SnapshotAtOwnOffset()),
+        SOUND._replace(acceptance=naive.LastWriteWins(MAX_LAG)),
+        SOUND._replace(acceptance=naive.ForgetfulRule(MAX_LAG)),
+        SOUND._replace(snapshots=naive.SnapshotAtOwnOffset()),
     ],
     ids=["last write wins", "ids forgotten", "snapshot without through offset"],
 )
-def test_naive_rules_are_told_apart(rules: Naive) -> None:
+def test_naive_rules_are_told_apart(rules: Rules) -> None:
     """Guards against a comparison that cannot fail: the same steps expose each naive rule."""
     phases = [hypothesis.Phase.generate]  # the first counterexample will do
     settings = hypothesis.settings(EXAMPLES, max_examples=5000, phases=phases)
--- a/tests/unit/configuration/test_log_config_source.py
+++ b/tests/unit/configuration/test_log_config_source.py
@@ -9,7 +9,7 @@
 
 from cactusgauge import configuration, exceptions, observability, platform
 from emulator import memory_log
-from tests.unit.configuration import builders
+from tests.unit.configuration import builders, naive
 
 pytestmark = pytest.mark.looptime
 
@@ -32,22 +32,6 @@
         return self.peer.document() if self.peer else None
 
 
-class DefaultingSource(configuration.LogConfigSource):
-    """Naive: starts from defaults, and returns to them while the log is down."""
-
-    def __init__(self, log: memory_log.MemoryLog, seed: str) -> None:
-        super().__init__(log, seed)
-        self._faults = log.faults
-
-    @property
-    def current(self) -> configuration.Configuration | None:
-        """The defaults unless the log serves."""
-        default = configuration.WorkspaceConfig(name=builders.CHEESE)
-        if super().current is None or self._faults.unavailable:
-            return configuration.Configuration(0, {builders.CHEESE: default})
-        return super().current
-
-
 @contextlib.asynccontextmanager
 async def following(
     source: configuration.ConfigSource, peers: configuration.PeerStates | None = None
@@ -98,7 +82,9 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "keeps"), [(configuration.LogConfigSource, True), (DefaultingSource, False)], ids=["followed", "naive"]
+    ("kind", "keeps"),
+    [(configuration.LogConfigSource, True), (naive.DefaultingSource, False)],
+    ids=["followed", "naive"],
 )
 async def test_outage_keeps_the_version_and_a_start_in_it_gives_none(
     log: memory_log.MemoryLog, kind: type[configuration.LogConfigSource], keeps: bool
@@ -229,23 +215,13 @@
     change_slots(log, 2, 1, "w2")
     assert await snapshot == 3
     log.faults.delay_s = 0
-    naive = NaiveSnapshotRule()
+    own_offset = naive.SnapshotAtOwnOffset()
     log.trim(configuration.STREAM, 2)
     assert await read_after_trim(log, configuration.ThroughOffsetRule()) == 2
-    assert await read_after_trim(log, naive) == 4  # the naive rule skips the change at offset 2
+    assert await read_after_trim(log, own_offset) == 4  # the naive rule skips the change at offset 2
     log.trim(configuration.STREAM, 3)
     assert await read_after_trim(log, configuration.ThroughOffsetRule()) is None
-    assert await read_after_trim(log, naive) == 4
-
-
-class NaiveSnapshotRule(configuration.SnapshotRule):
-    """Ignores the through offset."""
-
-    def usable(
-        self, snapshot: configuration.StateDocument, offset: int, first_offset: int
-    ) -> configuration.StateDocument:
-        """Use every snapshot as of its own offset."""
-        return snapshot.model_copy(update={"through": offset})
+    assert await read_after_trim(log, own_offset) == 4
 
 
 async def test_writers_of_snapshots_are_bounded_and_harmless(log: memory_log.MemoryLog) -> None:
