Let the differential test adopt a peer's state at any step

A reader may get a state from a peer between two reads; the comparison with the reference did not cover that.

--- a/tests/unit/configuration/test_config_state.py
+++ b/tests/unit/configuration/test_config_state.py
@@ -31,6 +31,7 @@
     strategies.tuples(strategies.just("trim"), strategies.integers(1, 4)),
     strategies.tuples(strategies.just("junk"), strategies.binary(max_size=4)),
     strategies.tuples(strategies.just("restart")),
+    strategies.tuples(strategies.just("adopt")),
 )
 step_lists = strategies.lists(strategies.one_of(workspace_steps, template_steps, other_steps), max_size=30)
 
@@ -104,6 +105,9 @@
             elif step[0] == "restart":
                 self._reader = self._new_reader()
                 await self._read()
+            elif step[0] == "adopt":
+                self._reader.state.adopt(self._writer.document())
+                self._compare(self._reader.state)
             else:
                 self._append(self._record(number, step))
                 await self._read()
--- a/tests/unit/platform/test_log_service.py
+++ b/tests/unit/platform/test_log_service.py
@@ -23,10 +23,10 @@
 
 
 @contextlib.asynccontextmanager
-async def over_http(streams: memory_log.MemoryLog) -> abc.AsyncIterator[platform.LogService]:
-    """Serve streams over HTTP and give a client."""
-    app = falcon.asgi.App()
-    platform_log.PlatformLog(streams).add_to(app)
+async def client_of(
+    app: "falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]",
+) -> abc.AsyncIterator[platform.LogService]:
+    """Serve an application and give a client of it."""
     port = cluster.free_port()
     server = http_server.HttpServer(app, cluster.HOST, port)
     serving = asyncio.create_task(server.run_until_stopped())
@@ -45,7 +45,9 @@
     if request.param == "memory":
         yield Setup(streams, streams)
         return
-    async with over_http(streams) as service:
+    app = falcon.asgi.App()
+    platform_log.PlatformLog(streams).add_to(app)
+    async with client_of(app) as service:
         yield Setup(service, streams)
 
 
@@ -93,13 +95,6 @@
 
     app = falcon.asgi.App()
     app.add_route("/v1/streams/{stream}/records", Garbled())
-    port = cluster.free_port()
-    server = http_server.HttpServer(app, cluster.HOST, port)
-    serving = asyncio.create_task(server.run_until_stopped())
-    while not server.started:
-        await asyncio.sleep(0.01)
-    async with aiohttp.ClientSession() as session:
+    async with client_of(app) as service:
         with pytest.raises(exceptions.LogServiceError):
-            await platform.HttpLogService(session, f"http://{cluster.HOST}:{port}").read(STREAM, 0, 9)
-    server.stop()
-    await serving
+            await service.read(STREAM, 0, 9)
