--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -56,7 +56,7 @@
 
 
 class AgentHello(NamedTuple):
-    """First message of an agent on a new link."""
+    """First message of an agent on a new link; `http_url` is where operators reach it."""
 
     protocol: int
     name: ids.AgentName
@@ -64,6 +64,7 @@
     workspace: ids.WorkspaceName
     data_centre: ids.DataCentreName
     slots: int
+    http_url: str
 
 
 class Welcome(NamedTuple):
