Give the config command the options, exit codes and process directory of the other commands

config had its own variable for entries, exit codes that meant something else than those of job, and a second discovery of entries that kept an entry's address from before its restart.

--- a/src/cactusgauge/client/__init__.py
+++ b/src/cactusgauge/client/__init__.py
@@ -1,11 +1,13 @@
 """HTTP client of entries: jobs of callers and the state of processes."""
 
+from cactusgauge.client.deployment import Deployment, ProcessVersion
 from cactusgauge.client.entry_client import EntryClient, EntryReply
 from cactusgauge.client.job_client import JobClient, JobRef, JobResult, Outcome
 from cactusgauge.client.process_directory import ProcessDirectory, ProcessState
 from cactusgauge.client.session_file import SessionFile
 
 __all__ = [
+    "Deployment",
     "EntryClient",
     "EntryReply",
     "JobClient",
@@ -14,5 +16,6 @@
     "Outcome",
     "ProcessDirectory",
     "ProcessState",
+    "ProcessVersion",
     "SessionFile",
 ]
--- a/src/cactusgauge/client/process_directory.py
+++ b/src/cactusgauge/client/process_directory.py
@@ -32,10 +32,13 @@
 
     async def discover(self, entries: "abc.Iterable[str]") -> list[ProcessState]:
         """Return all processes found: entries first, each group by name."""
-        found = await self._find_entries(entries)
+        found = await self.discover_entries(entries)
         agents = await self._find_agents(found)
-        ordered = [sorted(group, key=lambda process: (process.name, process.url)) for group in (found, agents)]
-        return [process for group in ordered for process in group]
+        return [*found, *sorted(agents, key=lambda process: (process.name, process.url))]
+
+    async def discover_entries(self, entries: "abc.Iterable[str]") -> list[ProcessState]:
+        """Return the entries found, by name."""
+        return sorted(await self._find_entries(entries), key=lambda process: (process.name, process.url))
 
     async def _find_entries(self, urls: "abc.Iterable[str]") -> list[ProcessState]:
         names = {url: url for url in urls}
--- a/src/cactusgauge/configuration/__init__.py
+++ b/src/cactusgauge/configuration/__init__.py
@@ -3,18 +3,17 @@
 from cactusgauge.configuration.acceptance_rule import MAX_LAG, AcceptanceRule, BaseVersionRule, Decision
 from cactusgauge.configuration.agent_configuration import AgentConfiguration
 from cactusgauge.configuration.catalogue import Catalogue, Problem
-from cactusgauge.configuration.change_record import MAX_ID_CHARS, ChangeRecord, new_change_id
+from cactusgauge.configuration.change_record import MAX_ID_CHARS, NO_VERSION, ChangeRecord, new_change_id
 from cactusgauge.configuration.config_file import ConfigFile
 from cactusgauge.configuration.config_log import STREAM, ConfigLog
 from cactusgauge.configuration.config_publisher import ConfigPublisher
 from cactusgauge.configuration.config_source import ConfigSource
 from cactusgauge.configuration.config_state import ConfigState
 from cactusgauge.configuration.configuration import Configuration
-from cactusgauge.configuration.deployment import CONFIGURATION_PATH, Deployment, EntryVersion, are_in_force
 from cactusgauge.configuration.log_config_source import LogConfigSource
 from cactusgauge.configuration.peer_states import NoPeers, PeerStates
 from cactusgauge.configuration.snapshot_rule import SnapshotRule, ThroughOffsetRule
-from cactusgauge.configuration.state_document import SnapshotRecord, StateDocument
+from cactusgauge.configuration.state_document import CONFIGURATION_PATH, SnapshotRecord, StateDocument
 from cactusgauge.configuration.static_config_source import StaticConfigSource
 from cactusgauge.configuration.template import Parameter, Template, WorkspaceEntry
 from cactusgauge.configuration.verdict import Outcome, Verdict
@@ -25,6 +24,7 @@
     "MAX_ID_CHARS",
     "MAX_LAG",
     "MAX_SLOTS",
+    "NO_VERSION",
     "STREAM",
     "AcceptanceRule",
     "AgentConfiguration",
@@ -38,8 +38,6 @@
     "ConfigState",
     "Configuration",
     "Decision",
-    "Deployment",
-    "EntryVersion",
     "LogConfigSource",
     "NoPeers",
     "OrderingName",
@@ -57,6 +55,5 @@
     "Verdict",
     "WorkspaceConfig",
     "WorkspaceEntry",
-    "are_in_force",
     "new_change_id",
 ]
--- a/src/cactusgauge/configuration/state_document.py
+++ b/src/cactusgauge/configuration/state_document.py
@@ -8,6 +8,8 @@
 from cactusgauge.configuration import change_record
 from cactusgauge.configuration import verdict as verdict_module
 
+CONFIGURATION_PATH = "/v1/configuration"  # where an entry gives its state
+
 
 class StateDocument(pydantic.BaseModel):
     """Everything that decides about later changes.
--- a/src/cactusgauge/console/config_commands.py
+++ b/src/cactusgauge/console/config_commands.py
@@ -12,18 +12,14 @@
 import aiohttp
 import click
 
-from cactusgauge import configuration, exceptions, platform
+from cactusgauge import client, configuration, exceptions, platform
+from cactusgauge.console import exit_codes, options
 
 if TYPE_CHECKING:
     from collections import abc
 
     from cactusgauge import settings
 
-EXIT_REFUSED = 1
-EXIT_FINDINGS = 2
-EXIT_UNAVAILABLE = 3
-EXIT_NOT_IN_FORCE = 4
-
 
 class Target(NamedTuple):
     """Where the commands find the log and the entries, and how they print."""
@@ -36,27 +32,33 @@
 class FileError(click.ClickException):
     """The file cannot be read."""
 
-    exit_code = EXIT_FINDINGS
+    exit_code = exit_codes.USAGE
 
 
 class UnavailableError(click.ClickException):
-    """Neither the log nor an entry gave what the command needs."""
+    """Neither the log nor an entry gave what the command needs; nothing was published."""
+
+    exit_code = exit_codes.FAILED
+
 
-    exit_code = EXIT_UNAVAILABLE
+class UnknownOutcomeError(click.ClickException):
+    """A change may or may not have been accepted."""
+
+    exit_code = exit_codes.UNKNOWN
 
 
 class Connection:
     """The log and the entries during one command."""
 
-    def __init__(self, session: aiohttp.ClientSession, target: Target) -> None:
+    def __init__(self, session: aiohttp.ClientSession, http: client.EntryClient, target: Target) -> None:
         self._target = target
-        self._deployment = configuration.Deployment(session, list(target.entry_urls))
+        self._deployment = client.Deployment(http, target.entry_urls)
         self._log: configuration.ConfigLog | None = None
         if target.log_url is not None:
             self._log = configuration.ConfigLog(platform.HttpLogService(session, target.log_url))
 
     @property
-    def deployment(self) -> configuration.Deployment:
+    def deployment(self) -> client.Deployment:
         """The entries."""
         if not self._target.entry_urls:
             raise click.UsageError("--entry URL is needed")
@@ -107,8 +109,8 @@
 
 @contextlib.asynccontextmanager
 async def _connect(target: Target) -> "abc.AsyncIterator[Connection]":
-    async with aiohttp.ClientSession() as session:
-        yield Connection(session, target)
+    async with aiohttp.ClientSession() as session, client.EntryClient() as http:
+        yield Connection(session, http, target)
 
 
 file_argument = click.argument("path", metavar="FILE", type=click.Path(path_type=pathlib.Path))
@@ -118,14 +120,12 @@
 
 
 def _with_target(command: "abc.Callable[..., None]") -> "abc.Callable[..., None]":
-    @click.option("--log-url", envvar="CACTUSGAUGE_LOG_URL", help="URL of the platform's log.")
-    @click.option(
-        "--entry", "entry_urls", multiple=True, envvar="CACTUSGAUGE_ENTRIES", help="HTTP URL of an entry; repeatable."
-    )
-    @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+    @options.log_url
+    @options.optional_entries
+    @options.as_json
     @functools.wraps(command)
-    def call(log_url: str | None, entry_urls: tuple[str, ...], as_json: bool, **others: Any) -> None:
-        command(Target(log_url, entry_urls, as_json), **others)
+    def call(log_url: str | None, entries: tuple[str, ...], as_json: bool, **others: Any) -> None:
+        command(Target(log_url, entries, as_json), **others)
 
     return call
 
@@ -147,8 +147,8 @@
 def config() -> None:
     """Check, publish and show configuration.
 
-    Exit codes: 0 done; 1 refused, or differences found; 2 wrong usage or findings in the file; 3 the log or the entries
-    do not answer, so the outcome is unknown; 4 not in force at every entry in time.
+    Exit codes: 0 done; 1 differences found, an entry behind, or no answer and nothing published; 2 wrong usage or
+    findings in the file; 3 refused; 4 outcome unknown; 5 accepted but not in force at every entry in time.
     """
 
 
@@ -185,7 +185,7 @@
     _print(
         target, {"version": state.version, "differences": rows}, lines or [f"no difference to version {state.version}"]
     )
-    sys.exit(EXIT_REFUSED if rows else 0)
+    sys.exit(exit_codes.FAILED if rows else exit_codes.COMPLETE)
 
 
 @config.command()
@@ -228,10 +228,10 @@
             try:
                 verdict = await configuration.ConfigPublisher(connection.log).publish(change, timeout_s)
             except exceptions.PublishError as error:
-                raise UnavailableError(str(error)) from error
+                raise UnknownOutcomeError(str(error)) from error
         if not verdict.is_accepted:
             _report_refusal(target, state, verdict)
-            return EXIT_REFUSED
+            return exit_codes.REFUSED
         if not target.entry_urls:
             entries = []
         else:
@@ -242,17 +242,17 @@
 
 
 @config.command()
-@click.option("--everywhere", is_flag=True, help="Show the version at every entry.")
+@click.option("--everywhere", is_flag=True, help="Show the version at every entry and agent.")
 @_with_target
 def show(target: Target, everywhere: bool) -> None:
     """Show the templates, the workspaces and the settings that result."""
 
-    async def run() -> tuple[configuration.ConfigState, list[configuration.EntryVersion]]:
+    async def run() -> tuple[configuration.ConfigState, list[client.ProcessVersion]]:
         async with _connect(target) as connection:
-            entries = await connection.deployment.entry_versions() if everywhere else []
-            return await connection.read_state(), entries
+            state = await connection.read_state()
+            return state, await connection.deployment.process_versions() if everywhere else []
 
-    state, entries = asyncio.run(run())
+    state, processes = asyncio.run(run())
     configs = state.configuration.workspaces if state.configuration else {}
     document: dict[str, Any] = {
         "version": state.version,
@@ -269,10 +269,12 @@
         lines.append(f"workspace {workspace} (version {version}, template {template_name}):")
         lines += [f"  {key}: {value}" for key, value in each.model_dump(mode="json", exclude={"name"}).items()]
     if everywhere:
-        document["entries"] = [each._asdict() for each in entries]
-        lines += [_entry_line(each, state.version) for each in entries]
+        document["processes"] = [each._asdict() for each in processes]
+        lines += [_process_line(each, state.version) for each in processes]
     _print(target, document, lines)
-    sys.exit(EXIT_NOT_IN_FORCE if everywhere and not configuration.are_in_force(entries, state.version) else 0)
+    # An agent that is gone, or whose workspace is, stays behind for good.
+    in_force = all(each.has(state.version) for each in processes if each.role == "entry")
+    sys.exit(exit_codes.COMPLETE if in_force else exit_codes.FAILED)
 
 
 @config.command()
@@ -301,7 +303,7 @@
 def wait(target: Target, version: int | None, timeout_s: float) -> None:
     """Wait until a version is in force at every entry."""
 
-    async def run() -> tuple[int, list[configuration.EntryVersion]]:
+    async def run() -> tuple[int, list[client.ProcessVersion]]:
         async with _connect(target) as connection:
             wanted = version if version is not None else (await connection.read_state()).version
             return wanted, await connection.deployment.wait_in_force(wanted, timeout_s)
@@ -318,7 +320,7 @@
     findings = file.findings(published)
     if findings:
         _report_findings(target, findings)
-        sys.exit(EXIT_FINDINGS)
+        sys.exit(exit_codes.USAGE)
     return file
 
 
@@ -346,19 +348,19 @@
 
 
 def _report_entries(
-    target: Target, document: dict[str, Any], text: str, entries: list[configuration.EntryVersion], version: int
+    target: Target, document: dict[str, Any], text: str, entries: list[client.ProcessVersion], version: int
 ) -> int:
-    in_force = configuration.are_in_force(entries, version) if target.entry_urls else None
+    in_force = all(each.has(version) for each in entries) if target.entry_urls else None
     document = {**document, "entries": [each._asdict() for each in entries], "in_force_everywhere": in_force}
-    _print(target, document, [text, *(_entry_line(each, version) for each in entries)])
-    return EXIT_NOT_IN_FORCE if in_force is False else 0
+    _print(target, document, [text, *(_process_line(each, version) for each in entries)])
+    return exit_codes.RUNNING if in_force is False else exit_codes.COMPLETE
 
 
-def _entry_line(entry: configuration.EntryVersion, version: int) -> str:
-    if entry.version is None:
-        return f"{entry.url}: does not answer"
-    state = "in force" if entry.version >= version else "not in force"
-    return f"{entry.name} ({entry.url}): {state} (version {entry.version})"
+def _process_line(process: client.ProcessVersion, version: int) -> str:
+    if process.version is None:
+        return f"{process.role} {process.name} ({process.url}): does not answer"
+    state = "in force" if process.has(version) else "not in force"
+    return f"{process.role} {process.name} ({process.url}): {state} (version {process.version})"
 
 
 def _differences(state: configuration.ConfigState, change: configuration.ChangeRecord) -> list[dict[str, Any]]:
--- a/src/cactusgauge/console/options.py
+++ b/src/cactusgauge/console/options.py
@@ -8,6 +8,7 @@
 import click
 
 ENTRY_VARIABLE = "CACTUSGAUGE_ENTRY"
+LOG_VARIABLE = "CACTUSGAUGE_LOG_URL"
 WORKSPACE_VARIABLE = "CACTUSGAUGE_WORKSPACE"
 UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
@@ -45,6 +46,19 @@
     callback=_check_urls,
     help="HTTP URL of an entry; repeat it to name others that are asked when one does not answer.",
 )
+optional_entries = click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    envvar=ENTRY_VARIABLE,
+    show_envvar=True,
+    metavar="URL",
+    callback=_check_urls,
+    help="HTTP URL of an entry, through which the others are found; may be repeated.",
+)
+log_url = click.option(
+    "--log-url", envvar=LOG_VARIABLE, show_envvar=True, metavar="URL", help="URL of the platform's log."
+)
 workspace = click.option(
     "--workspace", required=True, envvar=WORKSPACE_VARIABLE, show_envvar=True, metavar="NAME", help="Workspace."
 )
--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -118,13 +118,7 @@
 
     async def _recover(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         workspace = request.workspace
-        try:
-            dispatcher = self._service.dispatcher(workspace)
-        except exceptions.NotReadyError as error:
-            raise exceptions.RecoveryNotReadyError(str(error)) from error
-        except exceptions.UnknownWorkspaceError as error:
-            raise exceptions.RecoveryWorkspaceError(str(error)) from error
-        linked = any(worker.link for worker in dispatcher.workers)
+        linked = any(worker.link for worker in self._service.dispatcher(workspace).workers)
         if not linked and request.hop is caller_request.Hop.CALLER:
             for entry in self._members.preferred(workspace):
                 if entry.incarnation == self._members.own.incarnation:
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -154,21 +154,6 @@
     retry_after_s = 1.0
 
 
-class RecoveryNotReadyError(CactusgaugeError):
-    """The owner of a session is not reachable and this entry has no configuration to reach its agents with."""
-
-    code = "not_ready"
-    http_status = 503
-    retry_after_s = 1.0
-
-
-class RecoveryWorkspaceError(CactusgaugeError):
-    """The owner of a session is not reachable and the configuration does not name the workspace any more."""
-
-    code = "unknown_workspace"
-    http_status = 404
-
-
 class OwnerSlowError(CactusgaugeError):
     """The owner of a session is alive but did not answer in time."""
 
--- a/src/cactusgauge/platform/http_log_service.py
+++ b/src/cactusgauge/platform/http_log_service.py
@@ -45,7 +45,7 @@
 
 
 class HttpLogService(log_service.LogService):
-    """Client of the platform's log; it never repeats a request by itself."""
+    """Client of the platform's log; an append is a POST, which the HTTP library does not repeat."""
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -39,7 +39,7 @@
         environment = {
             **os.environ,
             "CACTUSGAUGE_LOG_URL": self._processes[cluster.LOG_NAME].http_url,
-            "CACTUSGAUGE_ENTRIES": self._processes[ENTRIES[0]].http_url,
+            "CACTUSGAUGE_ENTRY": self._processes[ENTRIES[0]].http_url,
         }
         command = [sys.executable, "-m", "cactusgauge.console.application", "config", *arguments, "--json"]
         return subprocess.Popen(command, env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
@@ -97,7 +97,7 @@
     answer = client.submit(client.open_session(), 1, caller.job_body(12, run_ms=20))
     assert answer.body["state"] == "complete"
     assert max(report["max_running"] for report in processes.server_reports()) <= 3
-    assert "nothing was published" in operator.run("publish", str(operator.write(5)), status=3)
+    assert "nothing was published" in operator.run("publish", str(operator.write(5)), status=1)
 
     processes.set_log_faults()
     processes.wait_ready("entry-3")
@@ -115,7 +115,7 @@
         for slots in (3, 4)
     ]
     outputs = [json.loads(racer.communicate(timeout=60)[0]) for racer in racers]
-    assert sorted(racer.returncode for racer in racers) == [0, 1]
+    assert sorted(racer.returncode for racer in racers) == [0, 3]
     winner, loser = sorted(outputs, key=lambda output: str(output["outcome"]))
     assert loser["outcome"] == "stale"
     assert [lost["id"] for lost in loser["lost_to"]] == [winner["change_id"]]
@@ -131,7 +131,8 @@
     processes.start_entry("entry-3")
     processes.wait_ready("entry-3")
     shown = operator.run("show", "--everywhere")
-    assert [entry["version"] for entry in shown["entries"]] == [published["version"]] * 3
+    versions = {process["name"]: process["version"] for process in shown["processes"]}
+    assert versions == dict.fromkeys([*ENTRIES, "entry-3", "agent-0"], published["version"])
     assert shown["settings"][processes.workspace]["slots"] == 6
 
 
--- a/tests/unit/configuration/test_config_commands.py
+++ b/tests/unit/configuration/test_config_commands.py
@@ -48,10 +48,10 @@
     ("arguments", "status"),
     [
         (("publish", "FILE"), 2),
-        (("publish", "FILE", "--log-url", "http://127.0.0.1:1"), 3),
+        (("publish", "FILE", "--log-url", "http://127.0.0.1:1"), 1),
         (("publish", "FILE", "--log-url", "http://127.0.0.1:1", "--author", ""), 2),
         (("publish", "FILE", "--log-url", "http://127.0.0.1:1", "--base", "-7"), 2),
-        (("show", "--log-url", "http://127.0.0.1:1", "--entry", "http://127.0.0.1:1"), 3),
+        (("show", "--log-url", "http://127.0.0.1:1", "--entry", "http://127.0.0.1:1"), 1),
         (("wait",), 2),
         (("check", "absent.yaml"), 2),
     ],
