Test the distance at which the id of a refused change may be forgotten

In a trial with ids forgotten two offsets too early, the generated examples did not find the repetition that is then accepted; the new test goes through every distance, also for changes that name an offset ahead of their own.

--- a/tests/unit/configuration/test_config_state.py
+++ b/tests/unit/configuration/test_config_state.py
@@ -205,6 +205,25 @@
     assert agrees(SOUND, steps)
 
 
+def accepts_a_repetition(rule: configuration.AcceptanceRule, through: int, distance: int) -> bool:
+    """Return whether a change refused at offset 0 is accepted `distance` offsets later, when it would be valid."""
+    state = configuration.ConfigState(rule)
+    refused = builders.encode(builders.workspace_change(4, -1, through, "w"))
+    template = builders.template_change().model_copy(update={"through": distance - 2})
+    records = [refused, *[b""] * (distance - 2), builders.encode(template), refused]
+    for offset, data in enumerate(records):
+        state.apply(offset, data)
+    assert state.version_of("templates.small") == distance - 1
+    return state.version_of("workspaces.cheese") != -1
+
+
+def test_refused_change_is_never_accepted_when_repeated() -> None:
+    """Guards against an id that is forgotten before its repetition would be refused as too old."""
+    cases = [(through, distance) for through in (-1, 0, 3, 50) for distance in range(2, 80)]
+    assert not any(accepts_a_repetition(configuration.BaseVersionRule(MAX_LAG), *case) for case in cases)
+    assert any(accepts_a_repetition(naive.ForgetfulRule(MAX_LAG), *case) for case in cases)
+
+
 @EXAMPLES
 @hypothesis.given(strategies.lists(strategies.binary(max_size=60) | strategies.text(max_size=60).map(str.encode)))
 def test_undecodable_records_change_nothing(records: list[bytes]) -> None:
