--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -210,7 +210,11 @@
         end = time.monotonic() + timeout_s
         while not condition():
             if time.monotonic() > end:
-                raise TimeoutError(f"waited {timeout_s} s until {what}; logs are in {self._directory}")
+                ended = {name: each.process.poll() for name, each in self._handles.items()}
+                statuses = {name: status for name, status in ended.items() if status is not None}
+                raise TimeoutError(
+                    f"waited {timeout_s} s until {what}; logs are in {self._directory}; ended processes: {statuses}"
+                )
             time.sleep(POLL_S)
 
     def get_status(self, name: str, path: str) -> int:
--- a/tests/unit/configuration/test_agent_configuration.py
+++ b/tests/unit/configuration/test_agent_configuration.py
@@ -1,5 +1,7 @@
 """The part of the configuration that reaches agents."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -29,7 +31,8 @@
         controller = start_controller.StartController(
             builders.CHEESE, lease, gate, start_log.StartLog(), runner, counters, events
         )
-        lease.announce("server", "http://127.0.0.1:1", None)
+        granted = lease.announce("server", "http://127.0.0.1:1", None, None)
+        lease.announce("server", "http://127.0.0.1:1", granted.id, asyncio.get_running_loop().time())
         entry = ids.EntryIncarnation("e")
         assert not controller.serving
         assert not gate.acquire(entry)
--- a/tests/unit/configuration/test_log_config_source.py
+++ b/tests/unit/configuration/test_log_config_source.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from cactusgauge import configuration, exceptions, observability
+from cactusgauge import configuration, exceptions, observability, platform
 from emulator import memory_log
-from tests.unit.configuration import builders
+from tests.unit.configuration import builders, naive
 
 pytestmark = pytest.mark.looptime
 
@@ -32,22 +32,6 @@
         return self.peer.document() if self.peer else None
 
 
-class DefaultingSource(configuration.LogConfigSource):
-    """Naive: starts from defaults, and returns to them while the log is down."""
-
-    def __init__(self, log: memory_log.MemoryLog, seed: str) -> None:
-        super().__init__(log, seed)
-        self._faults = log.faults
-
-    @property
-    def current(self) -> configuration.Configuration | None:
-        """The defaults unless the log serves."""
-        default = configuration.WorkspaceConfig(name=builders.CHEESE)
-        if super().current is None or self._faults.unavailable:
-            return configuration.Configuration(0, {builders.CHEESE: default})
-        return super().current
-
-
 @contextlib.asynccontextmanager
 async def following(
     source: configuration.ConfigSource, peers: configuration.PeerStates | None = None
@@ -98,7 +82,9 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "keeps"), [(configuration.LogConfigSource, True), (DefaultingSource, False)], ids=["followed", "naive"]
+    ("kind", "keeps"),
+    [(configuration.LogConfigSource, True), (naive.DefaultingSource, False)],
+    ids=["followed", "naive"],
 )
 async def test_outage_keeps_the_version_and_a_start_in_it_gives_none(
     log: memory_log.MemoryLog, kind: type[configuration.LogConfigSource], keeps: bool
@@ -158,20 +144,37 @@
     assert state.version == 2
 
 
-async def test_slow_log_is_followed_and_peers_fill_the_gap(log: memory_log.MemoryLog) -> None:
+class SlowPath(platform.LogService):
+    """One reader's path to a log: each request takes `delay_s`."""
+
+    def __init__(self, log: memory_log.MemoryLog) -> None:
+        self._log = log
+        self.delay_s = 0.0
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append after the delay."""
+        await asyncio.sleep(self.delay_s)
+        return await self._log.append(stream, data)
+
+    async def read(self, stream: str, offset: int, limit: int) -> platform.LogPage:
+        """Read after the delay."""
+        await asyncio.sleep(self.delay_s)
+        return await self._log.read(stream, offset, limit)
+
+
+@pytest.mark.parametrize(("has_peer", "wait_s"), [(True, BOUND_S), (False, 20.0)], ids=["with a peer", "alone"])
+async def test_slow_path_to_the_log(log: memory_log.MemoryLog, has_peer: bool, wait_s: float) -> None:
     """Guards against a follower that waits for a slow log although a peer is ahead, or gives up on a slow log."""
     peer = configuration.LogConfigSource(log, "a")
-    async with following(peer):
-        source, alone = configuration.LogConfigSource(log, "b"), configuration.LogConfigSource(log, "c")
-        async with following(source, FakePeers(peer)), following(alone):
-            await asyncio.sleep(1)
-            change_slots(log, 2, 1, "w2")
-            await asyncio.sleep(0.6)
-            log.faults.delay_s = 8.0
-            change_slots(log, 3, 2, "w3")
-            await asyncio.sleep(20)
-            assert builders.slots(alone.current) == 3
-            assert builders.slots(source.current) == 3
+    path = SlowPath(log)
+    source = configuration.LogConfigSource(path, "b")
+    async with following(peer), following(source, FakePeers(peer if has_peer else None)) as in_force:
+        await asyncio.sleep(1)
+        path.delay_s = 8.0
+        await asyncio.sleep(1)
+        change_slots(log, 2, 1, "w2")
+        await asyncio.sleep(wait_s)
+        assert in_force == [1, 2]
 
 
 async def test_trimmed_log_without_a_snapshot_needs_a_peer(log: memory_log.MemoryLog) -> None:
@@ -212,23 +215,13 @@
     change_slots(log, 2, 1, "w2")
     assert await snapshot == 3
     log.faults.delay_s = 0
-    naive = NaiveSnapshotRule()
+    own_offset = naive.SnapshotAtOwnOffset()
     log.trim(configuration.STREAM, 2)
     assert await read_after_trim(log, configuration.ThroughOffsetRule()) == 2
-    assert await read_after_trim(log, naive) == 4  # the naive rule skips the change at offset 2
+    assert await read_after_trim(log, own_offset) == 4  # the naive rule skips the change at offset 2
     log.trim(configuration.STREAM, 3)
     assert await read_after_trim(log, configuration.ThroughOffsetRule()) is None
-    assert await read_after_trim(log, naive) == 4
-
-
-class NaiveSnapshotRule(configuration.SnapshotRule):
-    """Ignores the through offset."""
-
-    def usable(
-        self, snapshot: configuration.StateDocument, offset: int, first_offset: int
-    ) -> configuration.StateDocument:
-        """Use every snapshot as of its own offset."""
-        return snapshot.model_copy(update={"through": offset})
+    assert await read_after_trim(log, own_offset) == 4
 
 
 async def test_writers_of_snapshots_are_bounded_and_harmless(log: memory_log.MemoryLog) -> None:
--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -142,7 +142,8 @@
 
     def announce(self) -> None:
         """Renew the lease of the backend server."""
-        self.lease.announce("server", "http://127.0.0.1:1", self.lease.valid and self.lease.valid.id)
+        known = self.lease.valid or self.lease.announce("server", "http://127.0.0.1:1", None, None)
+        self.lease.announce("server", "http://127.0.0.1:1", known.id, asyncio.get_running_loop().time())
         self.controller.refresh()
 
     async def run(self, start: wire.Start) -> wire.Outcome:
