Wait for peer links in the system tests of the commands

Ruled out: the directory itself, which lists every peer that the entry reports. The fake link has the new activity.

--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -133,6 +133,14 @@
         """Wait until an entry sees a number of available workers."""
         self.wait_until(lambda: self.available_workers(entry) >= agents, f"{agents} workers at {entry}")
 
+    def wait_peers(self, entry: str, peers: int) -> None:
+        """Wait until an entry sees a number of other entries alive."""
+        self.wait_until(lambda: self.alive_peers(entry) >= peers, f"{peers} peers at {entry}")
+
+    def alive_peers(self, entry: str) -> int:
+        """Return how many other entries an entry sees alive."""
+        return sum(peer["alive"] for peer in self.get_json(entry, "/v1/status")["peers"])
+
     def available_workers(self, entry: str) -> int:
         """Return how many workers an entry may send work to."""
         status = self.get_json(entry, "/v1/status")
--- a/tests/system/test_job_commands.py
+++ b/tests/system/test_job_commands.py
@@ -26,6 +26,7 @@
     processes.start_worker(0)
     for name in ("entry-1", "entry-2"):
         processes.wait_ready(name)
+        processes.wait_peers(name, 1)
         processes.wait_linked(name, 1)
     short, long = tmp_path / "short.json", tmp_path / "long.json"
     short.write_bytes(caller.job_body(4, run_ms=5))
--- a/tests/system/test_status_command.py
+++ b/tests/system/test_status_command.py
@@ -16,6 +16,7 @@
     processes.start_worker(0)
     processes.start_worker(1)
     processes.wait_ready("entry-1", "entry-2")
+    processes.wait_peers("entry-2", 1)
     processes.wait_linked("entry-1", 2)
     processes.wait_linked("entry-2", 2)
     environment = {"CACTUSGAUGE_ENTRY": processes["entry-2"].http_url}
--- a/tests/unit/dispatch/test_wasted_messages.py
+++ b/tests/unit/dispatch/test_wasted_messages.py
@@ -20,7 +20,10 @@
     worker = dispatcher.find_worker(hello)
 
     class Link:
-        last_received = 0.0
+        is_silent = False
+
+        def set_active(self, active: bool) -> None:
+            """Ignore the activity."""
 
         def post(self, message: wire.Message) -> None:
             """Drop the message."""
