--- a/src/cactusgauge/console/config_commands.py
+++ b/src/cactusgauge/console/config_commands.py
@@ -13,6 +13,7 @@
 import click
 
 from cactusgauge import configuration, exceptions, platform
+from cactusgauge.console import options
 
 if TYPE_CHECKING:
     from collections import abc
@@ -120,7 +121,7 @@
 def _with_target(command: "abc.Callable[..., None]") -> "abc.Callable[..., None]":
     @click.option("--log-url", envvar="CACTUSGAUGE_LOG_URL", help="URL of the platform's log.")
     @click.option(
-        "--entry", "entry_urls", multiple=True, envvar="CACTUSGAUGE_ENTRIES", help="HTTP URL of an entry; repeatable."
+        "--entry", "entry_urls", multiple=True, envvar=options.ENTRY_VARIABLE, help="HTTP URL of an entry; repeatable."
     )
     @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
     @functools.wraps(command)
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -39,7 +39,7 @@
         environment = {
             **os.environ,
             "CACTUSGAUGE_LOG_URL": self._processes[cluster.LOG_NAME].http_url,
-            "CACTUSGAUGE_ENTRIES": self._processes[ENTRIES[0]].http_url,
+            "CACTUSGAUGE_ENTRY": self._processes[ENTRIES[0]].http_url,
         }
         command = [sys.executable, "-m", "cactusgauge.console.application", "config", *arguments, "--json"]
         return subprocess.Popen(command, env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
