Append accounting records from the daemons and read them from the log

Both roles append to the stream accounting through the log service; an agent does so if its settings name the log. usage and audit read the log or an export.

--- a/src/cactusgauge/accounting/__init__.py
+++ b/src/cactusgauge/accounting/__init__.py
@@ -1,7 +1,6 @@
 """Accounting: records of consumption on the platform log, bills and their audit."""
 
-from cactusgauge.accounting.account_book import AccountBook, Chain, Finding, FindingKind
-from cactusgauge.accounting.account_log import AccountLog, LogEntry
+from cactusgauge.accounting.account_book import AccountBook, Chain, Finding, FindingKind, read_stream
 from cactusgauge.accounting.account_record import STREAM, AccountRecord, CounterRow
 from cactusgauge.accounting.account_writer import DEFAULT_INTERVAL_S, AccountWriter, Snapshot
 from cactusgauge.accounting.audit import Audit
@@ -13,7 +12,6 @@
 
 __all__ = [
     "AccountBook",
-    "AccountLog",
     "AccountRecord",
     "AccountWriter",
     "Audit",
@@ -24,7 +22,6 @@
     "FileAccountLog",
     "Finding",
     "FindingKind",
-    "LogEntry",
     "PairAccount",
     "PairTotals",
     "Period",
@@ -33,5 +30,6 @@
     "Usage",
     "WorkspaceUsage",
     "make_bill",
+    "read_stream",
     "split_cost",
 ]
--- a/src/cactusgauge/accounting/account_book.py
+++ b/src/cactusgauge/accounting/account_book.py
@@ -8,7 +8,10 @@
 from cactusgauge.accounting import account_record
 
 if TYPE_CHECKING:
-    from cactusgauge.accounting import account_log
+    from cactusgauge import platform
+
+
+READ_RECORDS = 500
 
 
 class FindingKind(enum.Enum):
@@ -63,10 +66,20 @@
         return self.records[0].sequence > 1
 
 
+async def read_stream(log: "platform.LogService") -> "list[platform.LogRecord]":
+    """Return all retained records of the accounting stream; raise `LogServiceError` if the log does not answer."""
+    entries: list[platform.LogRecord] = []
+    page = await log.read(account_record.STREAM, 0, READ_RECORDS)
+    while page.records:
+        entries += page.records
+        page = await log.read(account_record.STREAM, page.records[-1].offset + 1, READ_RECORDS)
+    return entries
+
+
 class AccountBook:
     """Chains of records and the findings about the records themselves."""
 
-    def __init__(self, entries: "list[account_log.LogEntry]") -> None:
+    def __init__(self, entries: "list[platform.LogRecord]") -> None:
         self._is_trimmed = bool(entries) and entries[0].offset > 0
         self._findings: list[Finding] = []
         self._damaged: set[tuple[str, int]] = set()
@@ -82,14 +95,9 @@
             self._check(chain)
 
     @classmethod
-    async def read(cls, log: "account_log.AccountLog") -> "AccountBook":
+    async def read(cls, log: "platform.LogService") -> "AccountBook":
         """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
-        entries: list[account_log.LogEntry] = []
-        offset = 0
-        while batch := await log.read_from(account_record.STREAM, offset):
-            entries += batch
-            offset = batch[-1].offset + 1
-        return cls(entries)
+        return cls(await read_stream(log))
 
     @property
     def chains(self) -> dict[str, Chain]:
@@ -106,7 +114,7 @@
         """What is wrong with the records themselves."""
         return self._findings
 
-    def _add(self, entry: "account_log.LogEntry") -> None:
+    def _add(self, entry: "platform.LogRecord") -> None:
         try:
             record, is_intact = account_record.AccountRecord.decode(entry.data)
         except exceptions.AccountingError:
--- a/src/cactusgauge/accounting/account_writer.py
+++ b/src/cactusgauge/accounting/account_writer.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import contextlib
+import random
 import time
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Self
 
 from cactusgauge import exceptions
 from cactusgauge.accounting import account_record
 
 if TYPE_CHECKING:
     from collections import abc
+    from types import TracebackType
 
-    from cactusgauge import observability
-    from cactusgauge.accounting import account_log, pair_account
+    from cactusgauge import observability, platform
+    from cactusgauge.accounting import pair_account
 
 DEFAULT_INTERVAL_S = 10.0  # 600 processes then make 60 appends/s, of several hundred that the log accepts
 CLOSE_TIMEOUT_S = 5.0  # a planned stop does not wait longer for a log that is down
@@ -27,7 +29,7 @@
 
 
 class AccountWriter:
-    """Writes a record every interval and one at the stop.
+    """Writes a record every interval and one at the stop; nothing without a log.
 
     A record whose append failed is repeated unchanged before a new one is made, so the chain on the log has no gap
     that an outage would explain. A repeated record has the same sequence number and counts once.
@@ -35,7 +37,7 @@
 
     def __init__(
         self,
-        log: "account_log.AccountLog",
+        log: "platform.LogService | None",
         process: str,
         role: str,
         incarnation: str,
@@ -55,12 +57,30 @@
         self._pending: account_record.AccountRecord | None = None
         self._appending = asyncio.Lock()
         self._available = True
+        self._running: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        if self._log is not None:
+            self._running = asyncio.create_task(self.run())
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: "TracebackType | None"
+    ) -> None:
+        if self._running is None:
+            return
+        self._running.cancel()
+        await asyncio.gather(self._running, return_exceptions=True)
+        if error is None:
+            await self.close()
 
     async def run(self) -> None:
         """Append a record every interval until cancelled."""
+        # The first interval is shorter at random, so that processes started together do not append together.
+        await asyncio.sleep(random.uniform(0, self._interval_s))
         while True:
-            await asyncio.sleep(self._interval_s)
             await self._append(final=False)
+            await asyncio.sleep(self._interval_s)
 
     async def close(self) -> None:
         """Append the final record; give up after CLOSE_TIMEOUT_S."""
@@ -84,6 +104,7 @@
 
     async def _append_pending(self) -> bool:
         assert self._pending is not None
+        assert self._log is not None
         try:
             await self._log.append(account_record.STREAM, self._pending.encode())
         except exceptions.LogServiceError:
--- a/src/cactusgauge/accounting/file_account_log.py
+++ b/src/cactusgauge/accounting/file_account_log.py
@@ -2,8 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from cactusgauge import exceptions
-from cactusgauge.accounting import account_log
+from cactusgauge import exceptions, platform
 
 if TYPE_CHECKING:
     import pathlib
@@ -11,32 +10,40 @@
 SEPARATOR = b"\t"
 
 
-class FileAccountLog:
+class FileAccountLog(platform.LogService):
     """Lines of offset, tab and record, as `cactusgauge usage --export` writes them; nothing can be appended."""
 
     def __init__(self, path: "pathlib.Path") -> None:
         self._path = path
+        self._records: list[platform.LogRecord] | None = None
 
     async def append(self, stream: str, data: bytes) -> int:
         """Raise `LogServiceError`."""
         raise exceptions.LogServiceError(f"{self._path} is an export")
 
-    async def read_from(self, stream: str, offset: int) -> list[account_log.LogEntry]:
-        """Return all records at or after an offset; raise `LogServiceError` if the file is not an export."""
-        try:
-            entries = [self._entry(line) for line in self._path.read_bytes().splitlines()]
-        except (OSError, ValueError) as error:
-            raise exceptions.LogServiceError(f"{self._path} is no exported accounting stream: {error}") from error
-        return [entry for entry in entries if entry.offset >= offset]
+    async def read(self, stream: str, offset: int, limit: int) -> platform.LogPage:
+        """Return at most `limit` records from `offset`; raise `LogServiceError` if the file is not an export."""
+        if self._records is None:
+            self._records = self._load()
+        if not self._records:
+            return platform.LogPage([], 0, 0)
+        found = [record for record in self._records if record.offset >= offset][:limit]
+        return platform.LogPage(found, self._records[0].offset, self._records[-1].offset + 1)
 
     @staticmethod
-    def format_line(entry: account_log.LogEntry) -> bytes:
+    def format_line(record: platform.LogRecord) -> bytes:
         """Return the line of a record."""
-        return b"%d%s%s\n" % (entry.offset, SEPARATOR, entry.data)
+        return b"%d%s%s\n" % (record.offset, SEPARATOR, record.data)
+
+    def _load(self) -> list[platform.LogRecord]:
+        try:
+            return [self._parse(line) for line in self._path.read_bytes().splitlines()]
+        except (OSError, ValueError) as error:
+            raise exceptions.LogServiceError(f"{self._path} is no exported accounting stream: {error}") from error
 
     @staticmethod
-    def _entry(line: bytes) -> account_log.LogEntry:
+    def _parse(line: bytes) -> platform.LogRecord:
         offset, separator, data = line.partition(SEPARATOR)
         if not separator:
             raise ValueError("a line without an offset")
-        return account_log.LogEntry(int(offset), data)
+        return platform.LogRecord(int(offset), data)
--- a/src/cactusgauge/agent/agent_daemon.py
+++ b/src/cactusgauge/agent/agent_daemon.py
@@ -6,7 +6,7 @@
 import aiohttp
 import falcon.asgi
 
-from cactusgauge import http_server, ids, observability, operations_resource
+from cactusgauge import accounting, http_server, ids, observability, operations_resource
 from cactusgauge.agent import (
     backend_server_lease,
     backend_server_resource,
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from cactusgauge import settings
+    from cactusgauge import platform, settings
 
 REFRESH_S = 0.25
 
@@ -27,7 +27,7 @@
 class AgentDaemon(operations_resource.DaemonState):
     """Wires the parts of an agent together and runs them until it is stopped."""
 
-    def __init__(self, own: "settings.AgentSettings") -> None:
+    def __init__(self, own: "settings.AgentSettings", log: "platform.LogService | None") -> None:
         self._settings = own
         self._incarnation = ids.new_agent_incarnation()
         self._counters = observability.Counters()
@@ -39,6 +39,9 @@
         self._controller: start_controller.StartController | None = None
         self._links: entry_links.EntryLinks | None = None
         self._stop = asyncio.Event()
+        self._accounts = accounting.AccountWriter(
+            log, own.name, "agent", self._incarnation, self._take_accounts, self._events, own.accounting_interval_s
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -110,7 +113,13 @@
             operations_resource.OperationsResource(self).add_to(app)
             backend_server_resource.BackendServerResource(self._lease, controller).add_to(app)
             server = http_server.HttpServer(app, self._settings.host, self._settings.http_port)
-            await self._run_parts(server, controller, self._links)
+            async with self._accounts:
+                await self._run_parts(server, controller, self._links)
+
+    def _take_accounts(self) -> accounting.Snapshot:
+        ledgers = self._controller.ledgers if self._controller is not None else []
+        pairs = [ledger.account.totals(ledger.incarnation, "", self._settings.workspace) for ledger in ledgers]
+        return accounting.Snapshot(self._counters.as_rows(), pairs)
 
     async def _run_parts(
         self,
--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -7,22 +7,26 @@
 import math
 import pathlib
 import sys
+from typing import BinaryIO
 
+import aiohttp
 import click
 import pydantic
 
-from cactusgauge import accounting, exceptions
+from cactusgauge import accounting, exceptions, platform
 from cactusgauge.console import exit_codes, options, table
 
 CENTS = 100
 
+_log_url = click.option(
+    "--log-url", envvar="CACTUSGAUGE_LOG_URL", show_envvar=True, metavar="URL", help="URL of the platform's log."
+)
 _records = click.option(
     "--records",
     "records_path",
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
-    required=True,
     metavar="FILE",
-    help="Exported accounting stream.",
+    help="Exported accounting stream that is read instead of the log.",
 )
 
 
@@ -37,18 +41,31 @@
 
 
 @click.command()
+@_log_url
 @_records
 @options.since
 @options.until
 @click.option("--cost", "cents", default="0", callback=_parse_cost, metavar="AMOUNT", help="Shared cost to split.")
+@click.option("--export", "export", type=click.File("wb"), metavar="FILE", help="Write the records to a file, too.")
 @options.as_json
-def usage(records_path: pathlib.Path, since: float | None, until: float | None, cents: int, as_json: bool) -> None:
+def usage(
+    log_url: str | None,
+    records_path: pathlib.Path | None,
+    since: float | None,
+    until: float | None,
+    cents: int,
+    export: BinaryIO | None,
+    as_json: bool,
+) -> None:
     """Show what each workspace consumed in a period, and its share of the shared cost.
 
     The shared cost is split in proportion to the task messages (assigns and results), which the records of both sides
     confirm. `audit --bill` verifies what --json prints.
     """
-    bill = accounting.make_bill(_read(records_path), _period(since, until), cents)
+    records = _read(log_url, records_path)
+    if export is not None:
+        export.writelines(map(accounting.FileAccountLog.format_line, records))
+    bill = accounting.make_bill(accounting.AccountBook(records), _period(since, until), cents)
     if as_json:
         click.echo(bill.model_dump_json())
     else:
@@ -56,6 +73,7 @@
 
 
 @click.command()
+@_log_url
 @_records
 @click.option(
     "--bill",
@@ -65,13 +83,15 @@
     help="Output of usage --json that is compared with the records.",
 )
 @options.as_json
-def audit(records_path: pathlib.Path, bill_path: pathlib.Path | None, as_json: bool) -> None:
+def audit(
+    log_url: str | None, records_path: pathlib.Path | None, bill_path: pathlib.Path | None, as_json: bool
+) -> None:
     """Verify the accounting records and, with --bill, a bill, from the log alone.
 
     A violation is what no fault explains; an open finding may be the effect of one and has a bound. Exit code 0 means
     that there are no violations, 1 that there are some.
     """
-    book = _read(records_path)
+    book = accounting.AccountBook(_read(log_url, records_path))
     findings = accounting.Audit(book).findings
     differences = _compare_bill(book, bill_path) if bill_path is not None else []
     violations = [finding for finding in findings if not finding.kind.is_open]
@@ -83,11 +103,19 @@
     sys.exit(exit_codes.FAILED if violations or differences else exit_codes.COMPLETE)
 
 
-def _read(path: pathlib.Path) -> accounting.AccountBook:
+def _read(log_url: str | None, path: pathlib.Path | None) -> list[platform.LogRecord]:
+    async def read_log(url: str) -> list[platform.LogRecord]:
+        async with aiohttp.ClientSession() as session:
+            return await accounting.read_stream(platform.HttpLogService(session, url))
+
     try:
-        return asyncio.run(accounting.AccountBook.read(accounting.FileAccountLog(path)))
+        if path is not None:
+            return asyncio.run(accounting.read_stream(accounting.FileAccountLog(path)))
+        if log_url is not None:
+            return asyncio.run(read_log(log_url))
     except exceptions.LogServiceError as error:
         raise click.UsageError(str(error)) from error
+    raise click.UsageError("give --log-url or --records")
 
 
 def _period(since: float | None, until: float | None) -> accounting.Period:
--- a/src/cactusgauge/console/daemon.py
+++ b/src/cactusgauge/console/daemon.py
@@ -59,12 +59,13 @@
 
 
 async def _run(own: settings.EntrySettings | settings.AgentSettings) -> None:
-    if isinstance(own, settings.AgentSettings):
-        await _run_daemon(agent_daemon.AgentDaemon(own))
-        return
     async with aiohttp.ClientSession() as session:
-        log = platform.HttpLogService(session, own.log_url)
-        await _run_daemon(entry_daemon.EntryDaemon(own, configuration.LogConfigSource(log, own.name)))
+        if isinstance(own, settings.EntrySettings):
+            log = platform.HttpLogService(session, own.log_url)
+            await _run_daemon(entry_daemon.EntryDaemon(own, configuration.LogConfigSource(log, own.name), log))
+            return
+        agent_log = platform.HttpLogService(session, own.log_url) if own.log_url is not None else None
+        await _run_daemon(agent_daemon.AgentDaemon(own, agent_log))
 
 
 async def _run_daemon(daemon: entry_daemon.EntryDaemon | agent_daemon.AgentDaemon) -> None:
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -6,7 +6,7 @@
 import aiohttp
 import falcon.asgi
 
-from cactusgauge import configuration, http_server, ids, observability, operations_resource, wire
+from cactusgauge import accounting, configuration, http_server, ids, observability, operations_resource, wire
 from cactusgauge.entry import (
     agent_links,
     configuration_resource,
@@ -23,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from cactusgauge import settings
+    from cactusgauge import platform, settings
 
 SWEEP_S = 0.25
 MAX_BODY_BYTES = 16 * 1024 * 1024  # before the workspace's own limit is known
@@ -33,7 +33,9 @@
 class EntryDaemon(operations_resource.DaemonState):
     """Wires the parts of an entry together and runs them until it is stopped."""
 
-    def __init__(self, own: "settings.EntrySettings", config_source: configuration.ConfigSource) -> None:
+    def __init__(
+        self, own: "settings.EntrySettings", config_source: configuration.ConfigSource, log: "platform.LogService"
+    ) -> None:
         self._settings = own
         self._config_source = config_source
         self._counters = observability.Counters()
@@ -71,6 +73,15 @@
         self._link_server = link_server.LinkServer(
             own.host, own.link_port, codec, self._counters, self._agents, self._peers
         )
+        self._accounts = accounting.AccountWriter(
+            log,
+            own.name,
+            "entry",
+            self._members.own.incarnation,
+            self._take_accounts,
+            self._events,
+            own.accounting_interval_s,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -105,10 +116,11 @@
             operations_resource.OperationsResource(self).add_to(app)
             jobs_resource.JobsResource(router, MAX_BODY_BYTES).add_to(app)
             configuration_resource.ConfigurationResource(self._config_source).add_to(app)
-            await self._run_parts(
-                http_server.HttpServer(app, self._settings.host, self._settings.http_port),
-                peer_configuration.PeerConfiguration(self._members, session),
-            )
+            async with self._accounts:
+                await self._run_parts(
+                    http_server.HttpServer(app, self._settings.host, self._settings.http_port),
+                    peer_configuration.PeerConfiguration(self._members, session),
+                )
 
     def status(self) -> dict[str, Any]:
         """Return the entry's view: itself, its peers, workers and queues."""
@@ -176,6 +188,10 @@
                 task.cancel()
         self._events.record_state("entry_stopped")
 
+    def _take_accounts(self) -> accounting.Snapshot:
+        pairs = [totals for each in self._service.dispatchers for totals in each.pair_totals()]
+        return accounting.Snapshot(self._counters.as_rows(), pairs)
+
     def _apply_configuration(self) -> None:
         self._service.apply_configuration()
         self._agents.broadcast_configuration()
--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -45,6 +45,7 @@
     http_port: Port
     seeds: list[LinkUrl] = []
     drain_notice_s: float = pydantic.Field(default=1.0, ge=0)
+    accounting_interval_s: float = pydantic.Field(default=10.0, ge=0.1)
 
     @property
     def http_url(self) -> str:
@@ -68,10 +69,14 @@
 
 
 class AgentSettings(DaemonSettings):
-    """Settings of an agent; `slots` and `connections` are hard limits towards its backend server."""
+    """Settings of an agent; `slots` and `connections` are hard limits towards its backend server.
+
+    Without `log_url` the agent keeps no accounting records, and the audit reports them as missing.
+    """
 
     role: Literal["agent"]
     workspace: ids.WorkspaceName
     slots: int = pydantic.Field(default=8, ge=1)
     connections: int = pydantic.Field(default=64, ge=1)
     links_per_agent: int = pydantic.Field(default=3, ge=1)
+    log_url: HttpUrl | None = None
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -124,6 +124,7 @@
             "http_port": free_port(),
             "seeds": list(self._link_urls.values()),
             "workspace": self._workspace,
+            **({"log_url": self._handles[LOG_NAME].http_url} if LOG_NAME in self._handles else {}),
             **overrides,
         }
         return self._start_daemon(name, document)
