--- a/src/cactusgauge/accounting/account_record.py
+++ b/src/cactusgauge/accounting/account_record.py
@@ -41,7 +41,7 @@
 
 
 class AccountRecord(pydantic.BaseModel):
-    """Cumulative account of one process incarnation; `at_s` is Unix time on its clock.
+    """Cumulative account of one process incarnation, made every `interval_s`; `at_s` is Unix time on its clock.
 
     `previous` is the hash of the record before, empty in the first one. `final` marks the record of a planned stop,
     after which the process counts nothing more.
@@ -55,6 +55,7 @@
     sequence: int = pydantic.Field(ge=1)
     previous: str
     at_s: float
+    interval_s: float = pydantic.Field(gt=0)
     final: bool
     rows: list[CounterRow]
     pairs: list[pair_account.PairTotals]
--- a/src/cactusgauge/accounting/account_writer.py
+++ b/src/cactusgauge/accounting/account_writer.py
@@ -125,6 +125,7 @@
             sequence=self._sequence + 1,
             previous=self._previous,
             at_s=time.time(),
+            interval_s=self._interval_s,
             final=final,
             rows=[account_record.CounterRow(*row) for row in taken.rows if row[0] in account_record.ACCOUNTED_COUNTERS],
             pairs=taken.pairs,
