--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -188,7 +188,8 @@
             self._starts.remove_start(task_id)
         else:
             self._starts.add_outcome(outcome)
-            self._counters.add("tasks_started", self._workspace, "")
+            label = "idempotent" if start.idempotent else "non_idempotent"
+            self._counters.add("tasks_started", self._workspace, label)
             self._counters.add("slot_seconds", self._workspace, "", outcome.run_ms / 1000)
         self._counters.add(f"tasks_{outcome.state}", self._workspace, outcome.reason)
         self._events.record(
--- a/src/cactusgauge/timeline/event_filter.py
+++ b/src/cactusgauge/timeline/event_filter.py
@@ -7,6 +7,9 @@
     from cactusgauge.timeline import timeline_event
 
 
+MAX_SESSIONS = 100_000  # bounds a live view that runs for days
+
+
 class Criteria(NamedTuple):
     """What to show; empty values match everything. A job is `SESSION/NUMBER`, or a session for all of its jobs."""
 
@@ -31,6 +34,8 @@
         session = self._session(event)
         if session and "workspace" in event.fields:
             self._session_workspaces[session] = event.fields["workspace"]
+            if len(self._session_workspaces) > MAX_SESSIONS:
+                del self._session_workspaces[next(iter(self._session_workspaces))]
         if not wanted.since_s <= placed.time_s <= wanted.until_s:
             return False
         if wanted.job and wanted.job not in (event.fields.get("job"), session):
--- a/src/cactusgauge/timeline/timeline.py
+++ b/src/cactusgauge/timeline/timeline.py
@@ -29,7 +29,8 @@
             self._pending[event.key] = (event, received_at)
             for pair in self._pairs.add(event):
                 self._offsets.add(pair)
-                self._senders.setdefault(pair.received.key, []).append(pair.sent.key)
+                if pair.received.key in self._pending:
+                    self._senders.setdefault(pair.received.key, []).append(pair.sent.key)
 
     def offset_s(self, ring: str) -> float:
         """Return the seconds that are added to a process's clock."""
