--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -108,14 +108,14 @@
         async with aiohttp.ClientSession() as session:
             return await accounting.read_stream(platform.HttpLogService(session, url))
 
+    if path is None and log_url is None:
+        raise click.UsageError("give --log-url or --records")
     try:
         if path is not None:
             return asyncio.run(accounting.read_stream(accounting.FileAccountLog(path)))
-        if log_url is not None:
-            return asyncio.run(read_log(log_url))
+        return asyncio.run(read_log(str(log_url)))
     except exceptions.LogServiceError as error:
-        raise click.UsageError(str(error)) from error
-    raise click.UsageError("give --log-url or --records")
+        raise click.UsageError(str(error)) if path is not None else click.ClickException(str(error)) from error
 
 
 def _period(since: float | None, until: float | None) -> accounting.Period:
--- a/tests/unit/console/test_account_commands.py
+++ b/tests/unit/console/test_account_commands.py
@@ -6,6 +6,7 @@
 
 from cactusgauge import accounting, platform
 from cactusgauge.console import application, exit_codes
+from emulator import cluster
 from tests.unit.accounting import world as world_module
 
 
@@ -61,6 +62,14 @@
     assert result.exit_code == exit_codes.USAGE
 
 
+def test_log_that_does_not_answer_is_one_line() -> None:
+    """Guards against a traceback, or an empty bill, during an outage of the log."""
+    url = f"http://127.0.0.1:{cluster.free_port()}"
+    result = run("usage", "--log-url", url)
+    assert (result.exit_code, len(result.stderr.splitlines())) == (exit_codes.FAILED, 1)
+    assert url in result.stderr
+
+
 def test_file_that_is_no_export_is_a_usage_error(tmp_path: pathlib.Path) -> None:
     """Guards against a traceback, or an audit without findings, for the wrong file."""
     path = tmp_path / "records"
