Add the load generator and the policy measurement script

scripts/measure_policy.py runs one entry and 11 workers as real processes and compares policies with the same mix and seed.

--- /dev/null
+++ b/scripts/measure_policy.py
@@ -0,0 +1,193 @@
+"""Measures scheduling policies with real processes: one entry, 11 workers and `cactusgauge load`, on loopback.
+
+Each arm runs in a fresh set of processes; the arms of a case run one after the other with the same mix and seed.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import click
+
+from cactusgauge import configuration, load, settings
+from cactusgauge.entry import entry_daemon
+from emulator import cluster
+
+ENTRY = "entry-1"
+MIXES = pathlib.Path(__file__).parent.parent / "examples" / "mixes"
+SERVER_SLOTS = 8
+SETTLE_S = 1.5  # the first announcements and heartbeats
+
+
+class PolicyCluster(cluster.Cluster):
+    """Processes whose entry runs with given workspace settings instead of the defaults."""
+
+    def __init__(self, directory: pathlib.Path, workspace_settings: dict[str, Any]) -> None:
+        super().__init__(directory)
+        self._workspace_settings = workspace_settings
+
+    def _start_daemon(self, name: str, document: dict[str, Any]) -> cluster.ProcessHandle:
+        if document["role"] != "entry":
+            return super()._start_daemon(name, document)
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(document))
+        command = [sys.executable, __file__, "entry", str(path), json.dumps(self._workspace_settings)]
+        return self._start(name, command, f"http://{cluster.HOST}:{document['http_port']}")
+
+
+@click.group()
+def main() -> None:
+    """Measure scheduling policies."""
+
+
+@main.command(hidden=True)
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+@click.argument("workspace_settings", type=json.loads)
+def entry(path: pathlib.Path, workspace_settings: dict[str, Any]) -> None:
+    """Run an entry with fixed workspace settings."""
+    own = settings.EntrySettings.model_validate_json(path.read_text())
+    configs = {
+        name: configuration.WorkspaceConfig.model_validate({"name": name, **workspace_settings})
+        for name in own.workspaces
+    }
+    source = configuration.StaticConfigSource(configuration.Configuration(0, configs))
+    asyncio.run(_run_entry(own, source))
+
+
+async def _run_entry(own: settings.EntrySettings, source: configuration.ConfigSource) -> None:
+    daemon = entry_daemon.EntryDaemon(own, source)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, daemon.stop)
+    await daemon.run()
+
+
+@main.command()
+@click.option("--mix", "mix_name", default="deployment", show_default=True, help="Name of a mix in examples/mixes.")
+@click.option("--loads", default="0.5,0.8,0.95", show_default=True, help="Shares of the capacity; empty: the mix's.")
+@click.option(
+    "--arm",
+    "arms",
+    multiple=True,
+    default=("arrival/any_free", "fewest_remaining/wait_for_faster"),
+    show_default=True,
+    help="ORDERING/PLACEMENT; may be repeated.",
+)
+@click.option("--duration", type=float, help="Seconds of arrivals per run, instead of the mix's.")
+@click.option("--seeds", default="7", show_default=True, help="Seeds, separated by commas.")
+@click.option("--worker", "faulty", multiple=True, help="NUMBER=OPTIONS for one backend server, such as '5=--fail 1'.")
+@click.option("--set", "overrides", default="{}", help="Further workspace settings as a JSON object.")
+@click.option("--output", type=click.Path(path_type=pathlib.Path), help="File to which a JSON line is added per run.")
+@click.option("--profile", is_flag=True, help="Also print the CPU time of the entry.")
+def run(
+    mix_name: str,
+    loads: str,
+    arms: tuple[str, ...],
+    duration: float | None,
+    seeds: str,
+    faulty: tuple[str, ...],
+    overrides: str,
+    output: pathlib.Path | None,
+    profile: bool,
+) -> None:
+    """Run every arm at every load and seed, alternating between the arms."""
+    mix_path = MIXES / f"{mix_name}.yaml"
+    options = {int(number): text.split() for number, _, text in (each.partition("=") for each in faulty)}
+    for load_share in [float(text) for text in loads.split(",") if text] or [None]:
+        for seed in [int(text) for text in seeds.split(",")]:
+            for arm in arms:
+                ordering, _, placement = arm.partition("/")
+                workspace_settings = {"ordering": ordering, "placement": placement, **json.loads(overrides)}
+                result = _measure(mix_path, load_share, seed, duration, workspace_settings, options)
+                result |= {"arm": arm, "faulty": list(faulty), "overrides": overrides}
+                click.echo(_describe(result, profile))
+                if output is not None:
+                    with output.open("a") as lines:
+                        lines.write(json.dumps(result) + "\n")
+
+
+def _measure(
+    mix_path: pathlib.Path,
+    load_share: float | None,
+    seed: int,
+    duration: float | None,
+    workspace_settings: dict[str, Any],
+    faulty: dict[int, list[str]],
+) -> dict[str, Any]:
+    mix = load.MixLoader(mix_path).load()
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        PolicyCluster(pathlib.Path(directory), workspace_settings) as processes,
+    ):
+        processes.start_entry(ENTRY)
+        for number, speed in enumerate(mix.fleet.speeds):
+            options = ["--speed", str(speed), "--seed", str(number), *faulty.get(number, [])]
+            processes.start_worker(number, *options)
+        processes.wait_ready(ENTRY)
+        processes.wait_linked(ENTRY, len(mix.fleet.speeds))
+        time.sleep(SETTLE_S)
+        machine_load = os.getloadavg()[0]
+        entry_pid = processes[ENTRY].process.pid
+        cpu_before = _cpu_s(entry_pid)
+        result = _run_load(processes, mix_path, load_share, seed, duration)
+        result["entry_cpu_s"] = round(_cpu_s(entry_pid) - cpu_before, 2)
+        result["machine_load"] = [round(machine_load, 1), round(os.getloadavg()[0], 1)]
+        result["slowness"] = {
+            worker["agent"]: worker["slowness"]
+            for worker in processes.get_json(ENTRY, "/v1/status")["workspaces"][0]["workers"]
+        }
+        reports = processes.server_reports()
+        result["starts"] = {report["name"]: len(report["starts"]) for report in reports}
+        result["duplicate_starts"] = sum(count - 1 for count in processes.starts().values())
+        result["slots_exceeded"] = sum(report["max_running"] > SERVER_SLOTS for report in reports)
+        result["quarantines"] = _count_events(processes, "worker_quarantined")
+        return result
+
+
+def _count_events(processes: cluster.Cluster, kind: str) -> float:
+    rows = processes.get_json(ENTRY, "/v1/status")["counters"]
+    return float(sum(value for name, _, _, value in rows if name == kind))
+
+
+def _run_load(
+    processes: cluster.Cluster, mix_path: pathlib.Path, load_share: float | None, seed: int, duration: float | None
+) -> dict[str, Any]:
+    command = [sys.executable, "-m", "cactusgauge.console.application", "load", str(mix_path), "--json"]
+    command += ["--entry", processes[ENTRY].http_url, "--seed", str(seed)]
+    if load_share is not None:
+        command += ["--load", str(load_share)]
+    if duration is not None:
+        command += ["--duration", str(duration)]
+    output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
+    report: dict[str, Any] = json.loads(output)[0]
+    return report
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _describe(result: dict[str, Any], profile: bool) -> str:
+    jobs = " ".join(f"{count} {state}" for state, count in result["jobs"].items() if count)
+    line = (
+        f"{result['mix']} load {result['load']:g} seed {result['seed']} {result['arm']}: "
+        f"mean {result['ratio_mean']:.2f} p50 {result['ratio_p50']:.2f} p99 {result['ratio_p99']:.2f} "
+        f"max {result['ratio_max']:.2f}; {jobs}; {result['messages_per_task']:.2f} messages/task, "
+        f"wasted {result['wasted_share']:.2%}; duplicates {result['duplicate_starts']}; "
+        f"machine load {result['machine_load']}"
+    )
+    if result["quarantines"]:
+        line += f"; quarantines {result['quarantines']:.0f}"
+    if profile:
+        line += f"; entry CPU {result['entry_cpu_s']} s; {result['starts']} {result['slowness']} {result['details']}"
+    return line
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cactusgauge/load/message_counts.py
@@ -0,0 +1,60 @@
+"""Messages that entries counted during a run."""
+
+import collections
+from typing import TYPE_CHECKING, Any, Self
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections import abc
+
+PEER_MESSAGES = frozenset({"PeerHello", "PeerBeat", "HandOver", "HandOverDone"})
+SENT, RECEIVED, WASTED, TASKS_SENT = "messages_sent", "messages_received", "messages_wasted", "tasks_sent"
+SINGLE_WASTE = frozenset({"repeated_results", "late_result"})  # any other label is a refused start: two messages
+
+
+class MessageCounts:
+    """Counters of all entries by name, workspace and label, from `/v1/status`."""
+
+    def __init__(self, counts: "collections.Counter[tuple[str, str, str]]") -> None:
+        self._counts = counts
+
+    @classmethod
+    async def read(cls, entry_urls: "abc.Sequence[str]") -> Self:
+        """Read the counters of all entries."""
+        counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
+        async with aiohttp.ClientSession() as client:
+            for url in entry_urls:
+                async with client.get(f"{url}/v1/status") as response:
+                    document: dict[str, Any] = await response.json()
+                for name, workspace, label, value in document["counters"]:
+                    counts[name, workspace, label] += value
+        return cls(counts)
+
+    def since(self, earlier: "MessageCounts") -> "MessageCounts":
+        """Return what was counted after `earlier`."""
+        return MessageCounts(self._counts - earlier._counts)
+
+    def total(self, name: str, workspace: str) -> float:
+        """Return a counter's sum over all labels."""
+        return sum(self.by_label(name, workspace).values())
+
+    def by_label(self, name: str, workspace: str) -> dict[str, float]:
+        """Return a counter by label."""
+        return {
+            label: value
+            for (its_name, its_workspace, label), value in sorted(self._counts.items())
+            if its_name == name and its_workspace == workspace
+        }
+
+    def by_type(self, workspace: str) -> dict[str, float]:
+        """Return messages by type, each counted once: sent and received, between entries sent only."""
+        types = collections.Counter(self.by_label(SENT, workspace))
+        received = self.by_label(RECEIVED, workspace)
+        types.update({name: count for name, count in received.items() if name not in PEER_MESSAGES})
+        return dict(types)
+
+    def wasted(self, workspace: str) -> float:
+        """Return the messages of which the receiver could use nothing; a refused start counts two."""
+        rows = self.by_label(WASTED, workspace)
+        return sum(count if label in SINGLE_WASTE else 2 * count for label, count in rows.items())
--- /dev/null
+++ b/src/cactusgauge/load/mix.py
@@ -0,0 +1,101 @@
+"""Description of a load: which jobs arrive, when, and what is wrong with them."""
+
+import pydantic
+
+from cactusgauge import ids
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class _Part(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Fleet(_Part):
+    """The workers that the ideal time and the load share refer to; a speed of 2 halves run times."""
+
+    speeds: list[pydantic.PositiveFloat] = pydantic.Field(min_length=1)
+    slots: pydantic.PositiveInt = 8
+
+    @property
+    def capacity(self) -> float:
+        """Seconds of work, as measured at speed 1, that the fleet does in a second."""
+        return sum(self.speeds) * self.slots
+
+
+class JobSizes(_Part):
+    """A class of jobs; the number of tasks is uniform from `min` to `max`."""
+
+    weight: pydantic.PositiveFloat
+    min: pydantic.PositiveInt
+    max: pydantic.PositiveInt
+
+    @pydantic.model_validator(mode="after")
+    def _check_order(self) -> "JobSizes":
+        if self.min > self.max:
+            raise ValueError("min must not exceed max")
+        return self
+
+
+class Kind(_Part):
+    """A kind of task; run times at speed 1 are lognormal, clipped to `min_ms` and `max_ms`."""
+
+    name: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")
+    weight: pydantic.PositiveFloat
+    median_ms: pydantic.PositiveFloat
+    sigma: pydantic.NonNegativeFloat = 0.3
+    min_ms: pydantic.NonNegativeFloat = 50
+    max_ms: pydantic.PositiveFloat = 1000
+
+
+class Burst(_Part):
+    """From `start_s` to `end_s` the arrival rate is `factor` times the rate outside of bursts."""
+
+    start_s: pydantic.NonNegativeFloat
+    end_s: pydantic.PositiveFloat
+    factor: pydantic.PositiveFloat
+
+
+class Declarations(_Part):
+    """Declared run times: lognormal error of `sigma`; a share is wrong by `wrong_factor` up or down."""
+
+    share: float = pydantic.Field(default=1.0, ge=0, le=1)
+    sigma: pydantic.NonNegativeFloat = 0.2
+    wrong_share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    wrong_factor: float = pydantic.Field(default=10.0, ge=1)
+
+
+class Cancellations(_Part):
+    """`share` of the jobs are cancelled `after_s` after submission; at `burst_at_s`, `burst_share` of the open ones."""
+
+    share: float = pydantic.Field(default=0.0, ge=0, le=1)
+    after_s: pydantic.NonNegativeFloat = 0.5
+    burst_at_s: pydantic.NonNegativeFloat | None = None
+    burst_share: float = pydantic.Field(default=0.9, ge=0, le=1)
+
+
+class Mix(_Part):
+    """The load of one workspace; unknown keys are refused.
+
+    `load` is the share of the fleet's capacity that arrives per second outside of bursts. Jobs that arrive in the
+    first `warm_up_s` are not part of the reported response times.
+    """
+
+    name: str
+    workspace: ids.WorkspaceName
+    seed: int = 1
+    duration_s: pydantic.PositiveFloat = 30
+    warm_up_s: pydantic.NonNegativeFloat = 5
+    load: pydantic.PositiveFloat = 0.8
+    fleet: Fleet
+    jobs: list[JobSizes] = pydantic.Field(min_length=1)
+    kinds: list[Kind] = pydantic.Field(min_length=1)
+    bursts: list[Burst] = []
+    declarations: Declarations = Declarations()
+    cancellations: Cancellations = Cancellations()
+    deadline_ms: pydantic.PositiveInt = 60_000
+    sessions: pydantic.PositiveInt = 8
+
+    def rate_factor(self, at_s: float) -> float:
+        """Return the arrival rate at a time, relative to the rate outside of bursts."""
+        return next((burst.factor for burst in self.bursts if burst.start_s <= at_s < burst.end_s), 1.0)
--- /dev/null
+++ b/src/cactusgauge/load/mix_loader.py
@@ -0,0 +1,33 @@
+"""Reads and checks mix files."""
+
+import pathlib
+
+import pydantic
+import yaml
+
+from cactusgauge import exceptions
+from cactusgauge.load import mix as mix_module
+
+
+class MixLoader:
+    """Reads one YAML file and reports all findings together."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+
+    def load(self) -> mix_module.Mix:
+        """Return the mix; raise `SettingsError` with one line for each finding."""
+        try:
+            document = yaml.safe_load(self._path.read_text())
+        except OSError as error:
+            raise exceptions.SettingsError(f"{self._path}: cannot be read: {error.strerror}") from error
+        except (yaml.YAMLError, UnicodeDecodeError) as error:
+            raise exceptions.SettingsError(f"{self._path}: is not YAML: {' '.join(str(error).split())}") from error
+        try:
+            return mix_module.Mix.model_validate(document)
+        except pydantic.ValidationError as error:
+            findings = [
+                f"{self._path}: {'.'.join(str(part) for part in found['loc']) or 'file'}: {found['msg']}"
+                for found in error.errors(include_url=False, include_input=False)
+            ]
+            raise exceptions.SettingsError("\n".join(findings)) from error
--- /dev/null
+++ b/src/cactusgauge/load/plan.py
@@ -0,0 +1,92 @@
+"""The jobs of a run, drawn from a mix before the run starts."""
+
+import json
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge.load import mix as mix_module
+
+if TYPE_CHECKING:
+    from collections import abc
+
+
+class PlannedTask(NamedTuple):
+    """A task; `run_ms` is its run time at speed 1."""
+
+    kind: str
+    run_ms: float
+    declared_ms: float | None
+
+
+class PlannedJob(NamedTuple):
+    """A job that is due `at_s` seconds after the start; `cancel_after_s` is None for a job that is not cancelled."""
+
+    at_s: float
+    tasks: list[PlannedTask]
+    cancel_after_s: float | None
+
+    def body(self, deadline_ms: int) -> bytes:
+        """Return the body of the submission."""
+        tasks = []
+        for task in self.tasks:
+            document = {"payload": json.dumps({"run_ms": task.run_ms, "result": ""}), "kind": task.kind}
+            tasks.append(document if task.declared_ms is None else {**document, "duration_ms": task.declared_ms})
+        return json.dumps({"tasks": tasks, "deadline_ms": deadline_ms}).encode()
+
+    def ideal_s(self, fleet: "mix_module.Fleet") -> float:
+        """Return the ideal time: the longest task on the fastest worker, or all work on the whole fleet if longer."""
+        longest_ms = max(task.run_ms for task in self.tasks)
+        total_ms = sum(task.run_ms for task in self.tasks)
+        return max(longest_ms / max(fleet.speeds), total_ms / fleet.capacity) / mix_module.MILLISECONDS_PER_SECOND
+
+
+def draw_plan(mix: "mix_module.Mix") -> list[PlannedJob]:
+    """Return the jobs of a run in order of arrival; the same mix gives the same plan.
+
+    Jobs are drawn until their work equals the offered load over the duration, so that runs with different seeds offer
+    the same work. Given that, arrival times are independent, as in a Poisson process.
+    """
+    source = random.Random(mix.seed)
+    offered_ms = mix.load * mix.fleet.capacity * _weighted_duration_s(mix) * mix_module.MILLISECONDS_PER_SECOND
+    jobs: list[list[PlannedTask]] = []
+    while offered_ms > 0:
+        tasks = _draw_tasks(mix, source)
+        offered_ms -= sum(task.run_ms for task in tasks)
+        jobs.append(tasks)
+    times = sorted(_draw_arrival(mix, source) for _ in jobs)
+    return [PlannedJob(at_s, tasks, _draw_cancellation(mix, source)) for at_s, tasks in zip(times, jobs, strict=True)]
+
+
+def _weighted_duration_s(mix: "mix_module.Mix") -> float:
+    in_bursts = sum((min(each.end_s, mix.duration_s) - each.start_s) * (each.factor - 1) for each in mix.bursts)
+    return mix.duration_s + in_bursts
+
+
+def _draw_arrival(mix: "mix_module.Mix", source: random.Random) -> float:
+    highest = max(1.0, *(burst.factor for burst in mix.bursts)) if mix.bursts else 1.0
+    while True:
+        at_s = source.uniform(0, mix.duration_s)
+        if source.random() * highest < mix.rate_factor(at_s):
+            return at_s
+
+
+def _draw_tasks(mix: "mix_module.Mix", source: random.Random) -> list[PlannedTask]:
+    sizes = source.choices(mix.jobs, [each.weight for each in mix.jobs])[0]
+    kinds: abc.Sequence[mix_module.Kind] = source.choices(
+        mix.kinds, [each.weight for each in mix.kinds], k=source.randint(sizes.min, sizes.max)
+    )
+    return [_draw_task(kind, mix.declarations, source) for kind in kinds]
+
+
+def _draw_task(kind: "mix_module.Kind", declarations: "mix_module.Declarations", source: random.Random) -> PlannedTask:
+    run_ms = kind.median_ms * source.lognormvariate(0, kind.sigma)
+    run_ms = round(min(max(run_ms, kind.min_ms), kind.max_ms), 3)
+    declared_ms = run_ms * source.lognormvariate(0, declarations.sigma)
+    if source.random() < declarations.wrong_share:
+        declared_ms *= declarations.wrong_factor ** source.choice((-1, 1))
+    is_declared = source.random() < declarations.share
+    return PlannedTask(kind.name, run_ms, round(declared_ms, 3) if is_declared else None)
+
+
+def _draw_cancellation(mix: "mix_module.Mix", source: random.Random) -> float | None:
+    return mix.cancellations.after_s if source.random() < mix.cancellations.share else None
