--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -1,12 +1,19 @@
 """Dispatcher of one workspace at one entry."""
 
 import asyncio
-import heapq
-import itertools
 from typing import TYPE_CHECKING
 
 from cactusgauge import configuration, exceptions, ids, jobs, wire
-from cactusgauge.dispatch import ordering, placement, remote_worker, speed_book
+from cactusgauge.dispatch import (
+    admission,
+    job_queue,
+    ordering,
+    placement,
+    remote_worker,
+    speed_book,
+    worker_health,
+    worker_slots,
+)
 
 if TYPE_CHECKING:
     from collections import abc
@@ -14,6 +21,7 @@
     from cactusgauge import observability
 
 AGENT_LOST_S = 10.0  # then tasks in flight there are reported unknown, so that callers are not kept waiting
+REPLAN_S = 0.025  # half of the shortest usual task; waiting for a slot that is late must not cost more than that
 DEADLINE_GRACE_S = 1.0  # time for an agent's report of a task that it stopped at the deadline
 
 ORDERINGS: "dict[configuration.OrderingName, type[ordering.TaskOrdering]]" = {
@@ -36,6 +44,18 @@
     }
 )
 
+# These ends are evidence against a worker, to be compared with the rest of the fleet.
+FAULTY_REASONS = frozenset(
+    {
+        jobs.Reason.BACKEND_ERROR.value,
+        jobs.Reason.CONNECTION_LOST.value,
+        jobs.Reason.CONNECTION_REFUSED.value,
+        jobs.Reason.REFUSED_BY_BACKEND_SERVER.value,
+        jobs.Reason.INTERNAL_ERROR.value,
+        jobs.Reason.DEADLINE.value,
+    }
+)
+
 
 class Dispatcher:
     """Queues the tasks of a workspace's owned jobs and sends each to at most one agent at a time.
@@ -55,11 +75,10 @@
         self._on_finished = on_finished
         self._workers: dict[ids.AgentName, remote_worker.RemoteWorker] = {}
         self._jobs: dict[ids.JobId, jobs.Job] = {}
-        self._heap: list[tuple[float, int, jobs.Job]] = []
-        self._heap_numbers = itertools.count()
-        self._queued_count = 0
         self._speeds = speed_book.SpeedBook()
+        self._health = worker_health.WorkerHealth(config.name, events)
         self._dispatch_scheduled = False
+        self._replan: asyncio.TimerHandle | None = None
         self.apply(config)
 
     @property
@@ -80,7 +99,12 @@
     @property
     def queued_count(self) -> int:
         """Number of tasks that wait for a slot."""
-        return self._queued_count
+        return len(self._queue)
+
+    @property
+    def health(self) -> worker_health.WorkerHealth:
+        """The workers' health."""
+        return self._health
 
     @property
     def running_count(self) -> int:
@@ -97,20 +121,22 @@
         self._config = config
         self._ordering = ORDERINGS[config.ordering]()
         self._placement = PLACEMENTS[config.placement]()
-        self._heap = []
+        self._admission = admission.Admission(config, self._ordering, self._speeds)
+        self._queue = job_queue.JobQueue(self._ordering, self._speeds)
         for job in self._jobs.values():
-            self._push(job)
+            if job.queued_count:
+                self._queue.add(job, [task.index for task in job.queued_tasks])
 
     def admit(self, job: jobs.Job) -> None:
-        """Queue a whole job, or raise `OverloadedError` and queue nothing of it."""
-        if self._queued_count + job.task_count > self._config.max_queued_tasks:
-            self._counters.add("jobs_refused", self.workspace, exceptions.OverloadedError.code)
-            raise exceptions.OverloadedError(
-                f"{self._queued_count} tasks are queued; the limit is {self._config.max_queued_tasks}"
-            )
+        """Queue a whole job, or raise a `RequestError` and queue nothing of it."""
+        now = asyncio.get_running_loop().time()
+        try:
+            self._admission.check(job, self._queue, self._usable_workers(now), now)
+        except exceptions.RequestError as error:
+            self._counters.add("jobs_refused", self.workspace, error.code)
+            raise
         self._jobs[job.id] = job
-        self._queued_count += job.task_count
-        self._push(job)
+        self._queue.add(job, range(job.task_count))
         self._counters.add("jobs_accepted", self.workspace, "")
         self._counters.add("tasks_accepted", self.workspace, "", job.task_count)
         self._events.record("job_accepted", job=str(job.id), tasks=job.task_count)
@@ -133,6 +159,7 @@
             return known
         if known is not None:
             self._abandon(known, jobs.Reason.AGENT_RESTARTED)
+            self._health.forget(hello.name)
         created = remote_worker.RemoteWorker(hello, hello.data_centre)
         self._workers[hello.name] = created
         return created
@@ -176,73 +203,58 @@
                 self._abandon(worker, jobs.Reason.AGENT_LOST)
         self.schedule()
 
-    def _push(self, job: jobs.Job) -> None:
-        heapq.heappush(self._heap, (self._ordering.key(job), next(self._heap_numbers), job))
-
-    def _next_job(self) -> jobs.Job | None:
-        while self._heap:
-            key, _, job = self._heap[0]
-            if job.id not in self._jobs or not job.queued_count:
-                heapq.heappop(self._heap)
-                continue
-            current_key = self._ordering.key(job)
-            if current_key != key:
-                heapq.heapreplace(self._heap, (current_key, next(self._heap_numbers), job))
+    def _usable_workers(self, now: float) -> list[remote_worker.RemoteWorker]:
+        return [
+            worker
+            for worker in self._workers.values()
+            if worker.is_available(now) and self._health.allowed(worker.name, now) is None
+        ]
+
+    def _slots(self, now: float) -> list[worker_slots.WorkerSlots]:
+        slots = []
+        for worker in self._workers.values():
+            if not worker.is_available(now):
                 continue
-            return job
-        return None
+            allowed = self._health.allowed(worker.name, now)
+            free = worker.free_slots
+            if allowed is not None:
+                free = min(free, max(0, allowed - len(worker.in_flight)))
+            if free or allowed is None:
+                slots.append(worker_slots.WorkerSlots(worker, free, now))
+        return slots
 
     def _dispatch(self) -> None:
         self._dispatch_scheduled = False
         now = asyncio.get_running_loop().time()
-        available = [worker for worker in self._workers.values() if worker.is_available(now)]
-        batches: dict[ids.AgentName, list[tuple[jobs.Job, jobs.Task, float]]] = {}
-        free_slots = {worker.name: worker.free_slots for worker in available}
-        budget = self._config.max_running_tasks - self.running_count
-        while budget > 0:
-            chosen = self._choose(available, free_slots, now)
-            if chosen is None:
-                break
-            job, task, worker = chosen
-            job.send(task.index)
-            self._queued_count -= 1
-            free_slots[worker.name] -= 1
-            budget -= 1
-            run_s = self._speeds.expected_run_s(task.request) * self._speeds.slowness(worker.name)
-            batches.setdefault(worker.name, []).append((job, task, run_s))
-        self._send(available, batches, now)
-
-    def _choose(
-        self, available: list[remote_worker.RemoteWorker], free_slots: dict[ids.AgentName, int], now: float
-    ) -> tuple[jobs.Job, jobs.Task, remote_worker.RemoteWorker] | None:
-        free = [worker for worker in available if free_slots[worker.name] > 0]
-        if not free:
-            return None
-        job = self._next_job()
-        if job is None:
-            return None
-        task = job.next_task()
-        busy = [worker for worker in available if free_slots[worker.name] <= 0]
-        worker = self._placement.choose(job, task, free, busy, self._speeds, now)
-        if worker is None:
-            return None
-        return job, task, worker
-
-    def _send(
-        self,
-        available: list[remote_worker.RemoteWorker],
-        batches: dict[ids.AgentName, list[tuple[jobs.Job, jobs.Task, float]]],
-        now: float,
-    ) -> None:
-        for worker in available:
+        batches: dict[ids.AgentName, list[placement.Placed]] = {}
+        if self._queue:
+            slots = self._slots(now)
+            budget = self._config.max_running_tasks - self.running_count
+            placed = self._placement.plan(self._queue.tasks(), slots, self._speeds, now, budget)
+            for each in placed:
+                each.job.send(each.task.index)
+                self._queue.take(each.job, each.task)
+                batches.setdefault(each.worker.name, []).append(each)
+            if self._queue and len(placed) < min(budget, sum(each.free for each in slots)):
+                self._replan_later()
+        self._send(batches, now)
+
+    def _replan_later(self) -> None:
+        """Plan again soon, as a task may wait for a slot that turns out to be late."""
+        if self._replan is not None:
+            self._replan.cancel()
+        self._replan = asyncio.get_running_loop().call_later(REPLAN_S, self.schedule)
+
+    def _send(self, batches: dict[ids.AgentName, list[placement.Placed]], now: float) -> None:
+        for worker in self._workers.values():
             batch = batches.get(worker.name, [])
             if batch:
-                worker.assign(batch, self._queued_count, now)
+                worker.assign([(each.job, each.task, each.run_s) for each in batch], len(self._queue), now)
                 self._counters.add("tasks_sent", self.workspace, "", len(batch))
-                for job, task, _ in batch:
-                    self._events.record("task_sent", job=str(job.id), task=task.index, worker=worker.name)
-            elif self._queued_count and not worker.shown_demand and not worker.free_slots:
-                worker.assign([], self._queued_count, now)
+                for each in batch:
+                    self._events.record("task_sent", job=str(each.job.id), task=each.task.index, worker=worker.name)
+            elif self._queue and not worker.shown_demand and not worker.free_slots and worker.is_available(now):
+                worker.assign([], len(self._queue), now)
 
     def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> None:
         task_id = ids.TaskId(outcome.session, outcome.number, outcome.task)
@@ -251,6 +263,7 @@
             return
         now = asyncio.get_running_loop().time()
         state = jobs.TaskState(outcome.state)
+        self._judge(worker, task_id, state, outcome.reason)
         if state is jobs.TaskState.NOT_RUN and outcome.reason != jobs.Reason.SEALED.value:
             self._counters.add("messages_wasted", self.workspace, outcome.reason)
             if outcome.reason in PAUSING_REASONS:
@@ -264,12 +277,23 @@
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
 
+    def _judge(
+        self, worker: remote_worker.RemoteWorker, task_id: ids.TaskId, state: jobs.TaskState, reason: str
+    ) -> None:
+        is_failure = reason in FAULTY_REASONS
+        if not is_failure and state is not jobs.TaskState.COMPLETED:
+            return
+        kind = self._jobs[task_id.job].task_at(task_id.task).request.kind
+        now = asyncio.get_running_loop().time()
+        fleet_size = sum(each.is_available(now) for each in self._workers.values()) if is_failure else 0
+        if self._health.record(worker.name, task_id.job, kind, is_failure, fleet_size):
+            self._counters.add("worker_quarantined", self.workspace, worker.name)
+
     def _return_to_queue(self, task_id: ids.TaskId) -> None:
         job = self._jobs.get(task_id.job)
         if job is None or not job.return_to_queue(task_id.task):
             return
-        self._queued_count += 1
-        self._push(job)
+        self._queue.add(job, [task_id.task])
         self._counters.add("tasks_returned", self.workspace, "")
 
     def _refuse_sealed(self, session: ids.SessionId) -> None:
@@ -281,7 +305,7 @@
         refused = job.refuse_queued(reason, asyncio.get_running_loop().time())
         if not refused:
             return
-        self._queued_count -= refused
+        self._queue.discard(job)
         self._counters.add("tasks_not_run", self.workspace, reason.value, refused)
         self._settle(job)
 
@@ -309,6 +333,7 @@
         if job.finish_task(index, state, now, reason, result, run_ms):
             self._counters.add(f"tasks_{state.value}", self.workspace, reason)
             self._events.record("task_ended", job=str(job.id), task=index, state=state.value, reason=reason)
+            self._queue.update(job)
         self._settle(job)
 
     def _settle(self, job: jobs.Job) -> None:
--- /dev/null
+++ b/src/cactusgauge/dispatch/job_queue.py
@@ -0,0 +1,100 @@
+"""The tasks of a workspace that wait for a slot."""
+
+from typing import TYPE_CHECKING
+
+import sortedcontainers
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import ids, jobs
+    from cactusgauge.dispatch import ordering as ordering_module
+    from cactusgauge.dispatch import speed_book
+
+
+class _Waiting:
+    """One job's place in the queue and its waiting tasks as sorted pairs of rank and index."""
+
+    __slots__ = ("job", "place", "tasks")
+
+    def __init__(self, job: "jobs.Job", place: tuple[float, int], tasks: "sortedcontainers.SortedList") -> None:
+        self.job = job
+        self.place = place
+        self.tasks = tasks
+
+
+class JobQueue:
+    """Waiting tasks in the order of a `TaskOrdering`; equal jobs keep the order in which they were added.
+
+    A job's rank is taken when it is added and at each `update`. An update is needed whenever the rank falls, because
+    a place in the queue does not follow by itself.
+    """
+
+    def __init__(self, ordering: "ordering_module.TaskOrdering", speeds: "speed_book.SpeedBook") -> None:
+        self._ordering = ordering
+        self._speeds = speeds
+        self._waiting: dict[ids.JobId, _Waiting] = {}
+        self._places = sortedcontainers.SortedDict()
+        self._count = 0
+        self._next_number = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, job: "jobs.Job", indices: "abc.Iterable[int]") -> None:
+        """Queue tasks of a job."""
+        waiting = self._waiting.get(job.id)
+        if waiting is None:
+            self._next_number += 1
+            place = (self._ordering.job_key(job), self._next_number)
+            waiting = _Waiting(job, place, sortedcontainers.SortedList())
+            self._waiting[job.id] = waiting
+            self._places[place] = waiting
+        ranked = [self._rank(job, index) for index in indices]
+        waiting.tasks.update(ranked)
+        self._count += len(ranked)
+
+    def update(self, job: "jobs.Job") -> None:
+        """Take in a change of a job's rank."""
+        waiting = self._waiting.get(job.id)
+        if waiting is None:
+            return
+        place = (self._ordering.job_key(job), waiting.place[1])
+        if place != waiting.place:
+            del self._places[waiting.place]
+            waiting.place = place
+            self._places[place] = waiting
+
+    def take(self, job: "jobs.Job", task: "jobs.Task") -> None:
+        """Remove a task because it is being sent."""
+        waiting = self._waiting[job.id]
+        waiting.tasks.remove(next(pair for pair in waiting.tasks if pair[1] == task.index))
+        self._count -= 1
+        if not waiting.tasks:
+            self._drop(waiting)
+
+    def discard(self, job: "jobs.Job") -> None:
+        """Remove all tasks of a job, if it has any here."""
+        waiting = self._waiting.get(job.id)
+        if waiting is not None:
+            self._count -= len(waiting.tasks)
+            self._drop(waiting)
+
+    def tasks(self) -> "abc.Iterator[tuple[jobs.Job, jobs.Task]]":
+        """Yield the waiting tasks, next one first; the queue must not change meanwhile."""
+        for waiting in self._places.values():
+            for _, index in waiting.tasks:
+                yield waiting.job, waiting.job.task_at(index)
+
+    def waiting_jobs(self) -> "abc.Iterator[tuple[jobs.Job, int]]":
+        """Yield the waiting jobs with the number of their waiting tasks, next one first."""
+        for waiting in self._places.values():
+            yield waiting.job, len(waiting.tasks)
+
+    def _rank(self, job: "jobs.Job", index: int) -> tuple[float, int]:
+        expected_run_s = self._speeds.expected_run_s(job.task_at(index).request)
+        return self._ordering.task_key(index, expected_run_s), index
+
+    def _drop(self, waiting: _Waiting) -> None:
+        del self._places[waiting.place]
+        del self._waiting[waiting.job.id]
--- a/src/cactusgauge/dispatch/ordering.py
+++ b/src/cactusgauge/dispatch/ordering.py
@@ -10,28 +10,43 @@
 
 
 class TaskOrdering(abc.ABC):
-    """Ranks jobs; the task of the job with the lowest key goes first.
+    """Ranks jobs, and the tasks within a job; the lowest key goes first.
 
-    A key may depend only on the job's arrival and progress, not on the current time, so that a heap of jobs stays
-    ordered while it waits.
+    A job's key may depend only on its arrival and progress, not on the current time, so that waiting jobs stay
+    ordered.
     """
 
     @abc.abstractmethod
-    def key(self, job: "jobs.Job") -> float:
+    def job_key(self, job: "jobs.Job") -> float:
         """Return the job's rank."""
 
+    @abc.abstractmethod
+    def task_key(self, index: int, expected_run_s: float) -> float:
+        """Return the rank of a task within its job."""
+
 
 class ArrivalOrdering(TaskOrdering):
     """First come, first served; the naive baseline."""
 
-    def key(self, job: "jobs.Job") -> float:
+    def job_key(self, job: "jobs.Job") -> float:
         """Return the time of arrival."""
         return job.accepted_at
 
+    def task_key(self, index: int, expected_run_s: float) -> float:
+        """Return the position in the submission."""
+        return index
+
 
 class FewestRemainingOrdering(TaskOrdering):
-    """The job with the fewest open tasks first, with linear ageing so that large jobs are not starved."""
+    """The job with the fewest open tasks first, with linear ageing so that large jobs are not starved.
 
-    def key(self, job: "jobs.Job") -> float:
+    Within a job the task with the longest expected run time goes first, as it is the most likely to end last.
+    """
+
+    def job_key(self, job: "jobs.Job") -> float:
         """Return the open tasks plus the arrival time at the ageing rate."""
         return job.open_count + AGEING_TASKS_PER_S * job.accepted_at
+
+    def task_key(self, index: int, expected_run_s: float) -> float:
+        """Return the negative expected run time."""
+        return -expected_run_s
--- a/src/cactusgauge/dispatch/placement.py
+++ b/src/cactusgauge/dispatch/placement.py
@@ -1,85 +1,140 @@
 """Which worker takes a task."""
 
 import abc
-from typing import TYPE_CHECKING
+import heapq
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections import abc as collections_abc
 
     from cactusgauge import jobs
-    from cactusgauge.dispatch import remote_worker, speed_book
+    from cactusgauge.dispatch import remote_worker, speed_book, worker_slots
+
+LOOKAHEAD_PER_SLOT = 4  # tasks considered per slot; a fast slot runs at most about four tasks while a slow one runs one
+
+
+class Placed(NamedTuple):
+    """A task to be sent now; `run_s` is its expected run time at the worker."""
+
+    job: "jobs.Job"
+    task: "jobs.Task"
+    worker: "remote_worker.RemoteWorker"
+    run_s: float
 
 
 class WorkerPlacement(abc.ABC):
-    """Chooses a worker for a task."""
+    """Chooses the workers for the waiting tasks."""
 
     @abc.abstractmethod
-    def choose(
+    def plan(
         self,
-        job: "jobs.Job",
-        task: "jobs.Task",
-        free: "collections_abc.Sequence[remote_worker.RemoteWorker]",
-        busy: "collections_abc.Sequence[remote_worker.RemoteWorker]",
+        waiting: "collections_abc.Iterator[tuple[jobs.Job, jobs.Task]]",
+        slots: "collections_abc.Sequence[worker_slots.WorkerSlots]",
         speeds: "speed_book.SpeedBook",
         now: float,
-    ) -> "remote_worker.RemoteWorker | None":
-        """Return one of `free` (not empty), or None to leave the task queued for one of `busy`."""
+        budget: int,
+    ) -> list[Placed]:
+        """Return at most `budget` tasks to be sent now, within the free slots; `waiting` is in order of preference."""
 
 
 class AnyFreePlacement(WorkerPlacement):
     """The first free worker; the naive baseline."""
 
-    def choose(
+    def plan(
         self,
-        job: "jobs.Job",
-        task: "jobs.Task",
-        free: "collections_abc.Sequence[remote_worker.RemoteWorker]",
-        busy: "collections_abc.Sequence[remote_worker.RemoteWorker]",
+        waiting: "collections_abc.Iterator[tuple[jobs.Job, jobs.Task]]",
+        slots: "collections_abc.Sequence[worker_slots.WorkerSlots]",
         speeds: "speed_book.SpeedBook",
         now: float,
-    ) -> "remote_worker.RemoteWorker | None":
-        """Return the first free worker."""
-        return free[0]
+        budget: int,
+    ) -> list[Placed]:
+        """Fill the free slots in the order of the workers."""
+        free = [each.worker for each in slots for _ in range(each.free)][: max(budget, 0)]
+        # `zip` takes from its first argument first; the free slots come first, so that no task is taken for nothing.
+        return [_place(job, task, worker, speeds) for worker, (job, task) in zip(free, waiting, strict=False)]
 
 
-class FastestFreePlacement(WorkerPlacement):
+class FastestFreePlacement(AnyFreePlacement):
     """The free worker with the lowest learned slowness."""
 
-    def choose(
+    def plan(
         self,
-        job: "jobs.Job",
-        task: "jobs.Task",
-        free: "collections_abc.Sequence[remote_worker.RemoteWorker]",
-        busy: "collections_abc.Sequence[remote_worker.RemoteWorker]",
+        waiting: "collections_abc.Iterator[tuple[jobs.Job, jobs.Task]]",
+        slots: "collections_abc.Sequence[worker_slots.WorkerSlots]",
         speeds: "speed_book.SpeedBook",
         now: float,
-    ) -> "remote_worker.RemoteWorker | None":
-        """Return the fastest free worker; among equals the one with most free slots."""
-        return min(free, key=lambda worker: (speeds.slowness(worker.name), -worker.free_slots))
+        budget: int,
+    ) -> list[Placed]:
+        """Fill the free slots, fastest worker first."""
+        fastest_first = sorted(slots, key=lambda each: speeds.slowness(each.worker.name))
+        return super().plan(waiting, fastest_first, speeds, now, budget)
+
 
+class WaitForFasterPlacement(WorkerPlacement):
+    """Each task where it is expected to end first; if that slot is still busy, the task waits for it.
 
-class WaitForFasterPlacement(FastestFreePlacement):
-    """The fastest free worker, unless waiting for a busy faster one is expected to end the task sooner."""
+    Every waiting task reserves its slot for its expected run time, so that the next task sees when the slot is free
+    after that. A slow slot is left idle only as long as all tasks considered are expected to end sooner elsewhere.
+    """
 
-    def choose(
+    def plan(
         self,
-        job: "jobs.Job",
-        task: "jobs.Task",
-        free: "collections_abc.Sequence[remote_worker.RemoteWorker]",
-        busy: "collections_abc.Sequence[remote_worker.RemoteWorker]",
+        waiting: "collections_abc.Iterator[tuple[jobs.Job, jobs.Task]]",
+        slots: "collections_abc.Sequence[worker_slots.WorkerSlots]",
         speeds: "speed_book.SpeedBook",
         now: float,
-    ) -> "remote_worker.RemoteWorker | None":
-        """Return the fastest free worker, or None if a busy one is expected to end the task sooner."""
-        fastest = super().choose(job, task, free, busy, speeds, now)
-        if fastest is None:
-            return None
-        run_s = speeds.expected_run_s(task.request)
-        end_now = run_s * speeds.slowness(fastest.name)
-        for worker in busy:
-            slowness = speeds.slowness(worker.name)
-            if slowness >= speeds.slowness(fastest.name):
-                continue
-            if worker.expected_wait_s(now) + run_s * slowness < end_now:
-                return None
-        return fastest
+        budget: int,
+    ) -> list[Placed]:
+        """Return the tasks whose earliest expected end is on a slot that is free now."""
+        free = min(sum(each.free for each in slots), budget)
+        schedule = _Schedule(slots, speeds, now)
+        placed: list[Placed] = []
+        lookahead = LOOKAHEAD_PER_SLOT * schedule.slot_count
+        while len(placed) < free and lookahead > 0:
+            job, task = next(waiting, (None, None))
+            if job is None or task is None:
+                break
+            lookahead -= 1
+            worker, start, run_s = schedule.reserve(task)
+            if start <= now:
+                placed.append(Placed(job, task, worker, run_s))
+        return placed
+
+
+class _Schedule:
+    """Expected times at which slots become free, as tasks are reserved on them."""
+
+    def __init__(
+        self, slots: "collections_abc.Sequence[worker_slots.WorkerSlots]", speeds: "speed_book.SpeedBook", now: float
+    ) -> None:
+        self._speeds = speeds
+        self._workers = [each.worker for each in slots if each.free or each.busy_until]
+        self._free_at = [[now] * each.free + each.busy_until for each in slots if each.free or each.busy_until]
+        for times in self._free_at:
+            heapq.heapify(times)
+        self._slowness: dict[str, list[float]] = {}
+
+    @property
+    def slot_count(self) -> int:
+        return sum(len(times) for times in self._free_at)
+
+    def reserve(self, task: "jobs.Task") -> "tuple[remote_worker.RemoteWorker, float, float]":
+        """Reserve the slot on which a task ends first; return its worker, the start and the run time in seconds."""
+        kind = task.request.kind
+        slowness = self._slowness.get(kind)
+        if slowness is None:
+            slowness = [self._speeds.slowness(worker.name, kind) for worker in self._workers]
+            self._slowness[kind] = slowness
+        run_s = self._speeds.expected_run_s(task.request)
+        ends = [times[0] + run_s * slow for times, slow in zip(self._free_at, slowness, strict=True)]
+        end = min(ends)
+        chosen = ends.index(end)
+        start = heapq.heapreplace(self._free_at[chosen], end)
+        return self._workers[chosen], start, run_s * slowness[chosen]
+
+
+def _place(
+    job: "jobs.Job", task: "jobs.Task", worker: "remote_worker.RemoteWorker", speeds: "speed_book.SpeedBook"
+) -> Placed:
+    run_s = speeds.expected_run_s(task.request) * speeds.slowness(worker.name, task.request.kind)
+    return Placed(job, task, worker, run_s)
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -109,14 +109,6 @@
             and now - self._link.last_received <= wire.SILENCE_S
         )
 
-    def expected_wait_s(self, now: float) -> float:
-        """Return the expected time in seconds until a slot is free."""
-        if self.free_slots:
-            return 0.0
-        if not self._in_flight:
-            return float("inf")
-        return max(0.0, min(entry.expected_end for entry in self._in_flight.values()) - now)
-
     def attach(self, link: "wire.Link", resume: wire.Resume) -> list[ids.TaskId]:
         """Take a new link; return the tasks that the agent provably never received."""
         self._link = link
--- a/src/cactusgauge/dispatch/speed_book.py
+++ b/src/cactusgauge/dispatch/speed_book.py
@@ -1,43 +1,132 @@
 """Learned run times."""
 
+import collections
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from cactusgauge import ids, jobs
 
 DEFAULT_RUN_S = 0.3  # prior for a kind of task without a declaration, in the middle of 50 ms to 1 s
-EWMA_WEIGHT = 0.1  # follows a change of speed within some 20 tasks and smooths single outliers
 MIN_RUN_S = 0.001
+PRIOR_TASKS = 3  # a prior counts as much as this many completed tasks
+MIN_WEIGHT = 0.05  # of a new measurement: follows a change of speed within some 20 tasks
+MAX_KINDS = 1_000  # kinds are named by callers; the least recently seen are forgotten
+RESCALE_TASKS = 256
+
+
+class _Average:
+    """Mean that starts from a prior and becomes exponential once it has enough samples."""
+
+    __slots__ = ("count", "value")
+
+    def __init__(self, prior: float) -> None:
+        self.value = prior
+        self.count = 0
+
+    def add(self, sample: float) -> None:
+        self.count += 1
+        self.value += max(1 / (self.count + PRIOR_TASKS), MIN_WEIGHT) * (sample - self.value)
+
+
+class _Kind:
+    """What is known of a kind of task.
+
+    `mean_s` is the run time on a worker of slowness 1, `bias` the logarithm of actual over declared time. The errors
+    are absolute differences of logarithms; the predictor with the smaller one is used.
+    """
+
+    __slots__ = ("bias", "declared_error", "mean_error", "mean_s", "ratios")
+
+    def __init__(self, prior_s: float) -> None:
+        self.mean_s = _Average(prior_s)
+        self.bias = _Average(0.0)
+        self.mean_error = _Average(0.0)
+        self.declared_error = _Average(0.0)
+        self.ratios: dict[ids.AgentName, _Average] = {}
 
 
 class SpeedBook:
-    """Learns the typical run time of each kind of task and the slowness of each worker.
+    """Learns the run time of each kind of task and the slowness of each worker, in general and for each kind.
 
     The run time of a kind is the one on a worker of slowness 1; a worker of slowness 2 needs twice as long. Declared
-    times serve only as a prior for a kind that has not been seen.
+    times are a prior for a kind that has not been seen. Afterwards they are used, corrected by their learned bias,
+    only while they predict the run times of that kind better than its mean does.
     """
 
     def __init__(self) -> None:
-        self._run_s: dict[str, float] = {}
-        self._slowness: dict[ids.AgentName, float] = {}
+        self._kinds: collections.OrderedDict[str, _Kind] = collections.OrderedDict()
+        self._slowness: dict[ids.AgentName, _Average] = {}
+        self._learned = 0
+
+    @property
+    def learned_count(self) -> int:
+        """Number of completed tasks taken in."""
+        return self._learned
 
-    def slowness(self, worker: "ids.AgentName") -> float:
-        """Return the learned slowness of a worker, 1 if it is unknown."""
-        return self._slowness.get(worker, 1.0)
+    def slowness(self, worker: "ids.AgentName", kind: str | None = None) -> float:
+        """Return the learned slowness of a worker, for a kind of task if one is given; 1 if it is unknown."""
+        general = self._slowness.get(worker)
+        if general is None:
+            return 1.0
+        known = self._kinds.get(kind) if kind is not None else None
+        ratio = known.ratios.get(worker) if known is not None else None
+        return general.value if ratio is None else general.value * ratio.value
+
+    def is_learned(self, request: "jobs.TaskRequest") -> bool:
+        """Whether the expected run time rests on completed tasks of that kind more than on a prior."""
+        known = self._kinds.get(request.kind)
+        return known is not None and known.mean_s.count > PRIOR_TASKS
 
     def expected_run_s(self, request: "jobs.TaskRequest") -> float:
         """Return the expected run time in seconds on a worker of slowness 1."""
-        learned = self._run_s.get(request.kind)
-        if learned is not None:
-            return learned
-        if request.duration_ms is not None:
-            return request.duration_ms / 1000
-        return DEFAULT_RUN_S
+        known = self._kinds.get(request.kind)
+        declared_s = request.duration_ms / 1000 if request.duration_ms is not None else None
+        if known is None:
+            return declared_s or DEFAULT_RUN_S
+        if declared_s is not None and self._trusts_declaration(known):
+            return declared_s * math.exp(known.bias.value)
+        return known.mean_s.value
 
     def learn(self, worker: "ids.AgentName", request: "jobs.TaskRequest", run_s: float) -> None:
         """Take in one completed task."""
-        measured = max(run_s, MIN_RUN_S)
-        expected = max(self.expected_run_s(request), MIN_RUN_S)
-        slowness = self.slowness(worker)
-        self._slowness[worker] = slowness + EWMA_WEIGHT * (measured / expected - slowness)
-        self._run_s[request.kind] = expected + EWMA_WEIGHT * (measured / slowness - expected)
+        measured_s = max(run_s, MIN_RUN_S)
+        general = self._slowness.setdefault(worker, _Average(1.0))
+        known = self._kind(request)
+        expected_s = max(self.expected_run_s(request), MIN_RUN_S)
+        ratio = known.ratios.setdefault(worker, _Average(1.0))
+        normal_s = measured_s / (general.value * ratio.value)
+        ratio.add(measured_s / (expected_s * general.value))
+        general.add(measured_s / expected_s)
+        known.mean_error.add(abs(math.log(normal_s / known.mean_s.value)))
+        known.mean_s.add(normal_s)
+        if request.duration_ms is not None:
+            observed_bias = math.log(normal_s / max(request.duration_ms / 1000, MIN_RUN_S))
+            known.declared_error.add(abs(observed_bias - known.bias.value))
+            known.bias.add(observed_bias)
+        self._learned += 1
+        if self._learned % RESCALE_TASKS == 0:
+            self._rescale()
+
+    @staticmethod
+    def _trusts_declaration(known: _Kind) -> bool:
+        return known.declared_error.count < PRIOR_TASKS or known.declared_error.value < known.mean_error.value
+
+    def _kind(self, request: "jobs.TaskRequest") -> _Kind:
+        known = self._kinds.get(request.kind)
+        if known is None:
+            known = self._kinds[request.kind] = _Kind(max(self.expected_run_s(request), MIN_RUN_S))
+            if len(self._kinds) > MAX_KINDS:
+                self._kinds.popitem(last=False)
+        else:
+            self._kinds.move_to_end(request.kind)
+        return known
+
+    def _rescale(self) -> None:
+        """Make the mean slowness 1, so that a new worker starts as an average one."""
+        mean = sum(each.value for each in self._slowness.values()) / len(self._slowness)
+        for each in self._slowness.values():
+            each.value /= mean
+        for known in self._kinds.values():
+            known.mean_s.value *= mean
+            known.bias.value += math.log(mean)
--- /dev/null
+++ b/src/cactusgauge/dispatch/worker_health.py
@@ -0,0 +1,180 @@
+"""Quarantine of workers that fail tasks which other workers complete."""
+
+import asyncio
+import collections
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from cactusgauge import ids, observability
+
+WINDOW = 16  # last outcomes of a worker, two for each of its slots
+MIN_BLAME = 4.0  # failures that the fleet does not explain; half a worker's slots
+MIN_BLAMED_SHARE = 0.5  # of the window
+MAX_BLAME_PER_JOB = 2.0  # a job that ran nowhere else may itself be bad
+MIN_ELSEWHERE = 2  # outcomes of a job at other workers before they count as evidence
+MAX_JOBS = 2_000  # jobs whose outcomes are compared between workers; the oldest are forgotten
+FIRST_PROBE_S = 1.0
+MAX_PROBE_S = 30.0
+
+
+class HealthState(enum.Enum):
+    """Whether a worker gets work: all it can take, one probe at a time, or a growing number of tasks."""
+
+    HEALTHY = "healthy"
+    QUARANTINED = "quarantined"
+    RETURNING = "returning"
+
+
+class _Outcome(NamedTuple):
+    job: "ids.JobId"
+    kind: str
+    failed: bool
+
+
+class _Worker:
+    """Recent outcomes and state of one worker."""
+
+    __slots__ = ("allowed", "outcomes", "probe_at", "probe_interval_s", "state", "successes")
+
+    def __init__(self) -> None:
+        self.outcomes: collections.deque[_Outcome] = collections.deque(maxlen=WINDOW)
+        self.state = HealthState.HEALTHY
+        self.allowed = 0
+        self.successes = 0
+        self.probe_at = 0.0
+        self.probe_interval_s = FIRST_PROBE_S
+
+
+class WorkerHealth:
+    """Judges workers by their outcomes against those of the rest of the fleet.
+
+    A failure counts against a worker as far as the same job, or else the same kind of task, does not fail elsewhere.
+    At most half of the workers are quarantined at once, and a worker whose failures the fleet turns out to share
+    returns. Probes are waiting tasks, one at a time, at intervals that double while they fail.
+    """
+
+    def __init__(self, workspace: "ids.WorkspaceName", events: "observability.EventRing") -> None:
+        self._workspace = workspace
+        self._events = events
+        self._workers: dict[ids.AgentName, _Worker] = {}
+        self._jobs: collections.OrderedDict[ids.JobId, dict[ids.AgentName, list[int]]] = collections.OrderedDict()
+        self._kinds: collections.Counter[tuple[str, bool]] = collections.Counter()
+
+    @property
+    def quarantined(self) -> "list[ids.AgentName]":
+        """Names of the quarantined workers."""
+        return [name for name, worker in self._workers.items() if worker.state is HealthState.QUARANTINED]
+
+    def state(self, name: "ids.AgentName") -> HealthState:
+        """Return a worker's state."""
+        worker = self._workers.get(name)
+        return HealthState.HEALTHY if worker is None else worker.state
+
+    def allowed(self, name: "ids.AgentName", now: float) -> int | None:
+        """Return how many tasks may be in flight at a worker, or None for no limit."""
+        worker = self._workers.get(name)
+        if worker is None or worker.state is HealthState.HEALTHY:
+            return None
+        if worker.state is HealthState.RETURNING:
+            return worker.allowed
+        return 1 if now >= worker.probe_at else 0
+
+    def forget(self, name: "ids.AgentName") -> None:
+        """Drop what is known of a worker, because its agent was restarted."""
+        worker = self._workers.pop(name, None)
+        if worker is not None:
+            self._kinds.subtract((outcome.kind, outcome.failed) for outcome in worker.outcomes)
+
+    def record(self, name: "ids.AgentName", job: "ids.JobId", kind: str, failed: bool, fleet_size: int) -> bool:
+        """Take in an outcome among `fleet_size` workers; return whether the worker was quarantined by it."""
+        worker = self._workers.setdefault(name, _Worker())
+        self._remember(worker, name, _Outcome(job, kind, failed))
+        if worker.state is HealthState.HEALTHY:
+            return failed and self._judge(worker, name, fleet_size)
+        if worker.state is HealthState.QUARANTINED and asyncio.get_running_loop().time() < worker.probe_at:
+            return False  # the task was in flight before the quarantine, so it is no probe
+        if failed and self._is_blamed(worker, name):
+            self._quarantine(worker, name, worker.probe_interval_s * 2)
+            return True
+        if worker.state is HealthState.QUARANTINED:
+            self._let_return(worker, name)
+        elif not failed:
+            self._widen(worker, name)
+        return False
+
+    def _remember(self, worker: _Worker, name: "ids.AgentName", outcome: _Outcome) -> None:
+        if len(worker.outcomes) == WINDOW:
+            oldest = worker.outcomes[0]
+            self._kinds[oldest.kind, oldest.failed] -= 1
+            if not self._kinds[oldest.kind, oldest.failed]:
+                del self._kinds[oldest.kind, oldest.failed]
+        worker.outcomes.append(outcome)
+        self._kinds[outcome.kind, outcome.failed] += 1
+        counts = self._jobs.setdefault(outcome.job, {}).setdefault(name, [0, 0])
+        counts[outcome.failed] += 1
+        if len(self._jobs) > MAX_JOBS:
+            self._jobs.popitem(last=False)
+
+    def _judge(self, worker: _Worker, name: "ids.AgentName", fleet_size: int) -> bool:
+        failures = sum(outcome.failed for outcome in worker.outcomes)
+        if failures < MIN_BLAME or failures < MIN_BLAMED_SHARE * len(worker.outcomes):
+            return False
+        if 2 * (len(self.quarantined) + 1) > fleet_size or not self._is_blamed(worker, name):
+            return False
+        self._quarantine(worker, name, FIRST_PROBE_S)
+        return True
+
+    def _is_blamed(self, worker: _Worker, name: "ids.AgentName") -> bool:
+        blame: collections.Counter[ids.JobId] = collections.Counter()
+        for outcome in worker.outcomes:
+            if not outcome.failed:
+                continue
+            in_job = self._failed_share_in_job(name, outcome.job)
+            if in_job is None:
+                share = 1 - self._failed_share_of_kind(worker, outcome.kind)
+                blame[outcome.job] = min(blame[outcome.job] + share, MAX_BLAME_PER_JOB)  # type: ignore[assignment]
+            else:
+                blame[outcome.job] += 1 - in_job  # type: ignore[assignment]
+        total = sum(blame.values())
+        return total >= MIN_BLAME and total >= MIN_BLAMED_SHARE * len(worker.outcomes)
+
+    def _failed_share_in_job(self, name: "ids.AgentName", job: "ids.JobId") -> float | None:
+        elsewhere = [counts for other, counts in self._jobs.get(job, {}).items() if other != name]
+        completed = sum(counts[False] for counts in elsewhere)
+        failed = sum(counts[True] for counts in elsewhere)
+        return failed / (completed + failed) if completed + failed >= MIN_ELSEWHERE else None
+
+    def _failed_share_of_kind(self, worker: _Worker, kind: str) -> float:
+        own = collections.Counter(outcome.failed for outcome in worker.outcomes if outcome.kind == kind)
+        failed = self._kinds[kind, True] - own[True]
+        completed = self._kinds[kind, False] - own[False]
+        return failed / (failed + completed) if failed + completed else 0.0
+
+    def _quarantine(self, worker: _Worker, name: "ids.AgentName", probe_interval_s: float) -> None:
+        worker.state = HealthState.QUARANTINED
+        worker.probe_interval_s = min(probe_interval_s, MAX_PROBE_S)
+        worker.probe_at = asyncio.get_running_loop().time() + worker.probe_interval_s
+        failures = sum(outcome.failed for outcome in worker.outcomes)
+        self._record_state("worker_quarantined", name, failures=failures, probe_in_s=worker.probe_interval_s)
+
+    def _let_return(self, worker: _Worker, name: "ids.AgentName") -> None:
+        worker.state = HealthState.RETURNING
+        worker.allowed = 1
+        worker.successes = 0
+        self._record_state("worker_returning", name)
+
+    def _widen(self, worker: _Worker, name: "ids.AgentName") -> None:
+        """Double the tasks in flight after as many successes as were allowed; healthy at the size of the window."""
+        worker.successes += 1
+        if worker.successes < worker.allowed:
+            return
+        worker.successes = 0
+        worker.allowed *= 2
+        if worker.allowed >= WINDOW:
+            worker.state = HealthState.HEALTHY
+            worker.probe_interval_s = FIRST_PROBE_S
+            self._record_state("worker_healthy", name)
+
+    def _record_state(self, kind: str, name: "ids.AgentName", **fields: float) -> None:
+        self._events.record_state(kind, workspace=self._workspace, worker=name, **fields)
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -118,6 +118,28 @@
     retry_after_s = 1.0
 
 
+class JobNeverFitsError(RequestError):
+    """The job has more tasks than the workspace may ever have queued."""
+
+    code = "job_never_fits"
+    http_status = 413
+
+
+class DeadlineTooShortError(RequestError):
+    """The job would miss its deadline even on idle workers."""
+
+    code = "deadline_too_short"
+    http_status = 422
+
+
+class DeadlineUnattainableError(RequestError):
+    """The job would miss its deadline because of the work ahead of it."""
+
+    code = "deadline_unattainable"
+    http_status = 503
+    retry_after_s = 1.0
+
+
 class DrainingError(RequestError):
     """The entry is being stopped and accepts no new work."""
 
