Quarantine failing workers, refuse hopeless jobs, and test the policies

A worker's failures count as far as the same job, or else the same kind of task, does not fail elsewhere; probes are single tasks at doubling intervals and a return is a slow start. Admission refuses whole jobs with a reason and a retry hint.

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -96,6 +96,7 @@
     profile: bool,
 ) -> None:
     """Run every arm at every load and seed, alternating between the arms."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the processes through the context managers
     mix_path = MIXES / f"{mix_name}.yaml"
     options = {int(number): text.split() for number, _, text in (each.partition("=") for each in faulty)}
     for load_share in [float(text) for text in loads.split(",") if text] or [None]:
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -76,7 +76,7 @@
         self._workers: dict[ids.AgentName, remote_worker.RemoteWorker] = {}
         self._jobs: dict[ids.JobId, jobs.Job] = {}
         self._speeds = speed_book.SpeedBook()
-        self._health = worker_health.WorkerHealth(config.name, events)
+        self._health = worker_health.WorkerHealth(config.name, counters, events, self._available_count)
         self._dispatch_scheduled = False
         self._replan: asyncio.TimerHandle | None = None
         self.apply(config)
@@ -284,10 +284,11 @@
         if not is_failure and state is not jobs.TaskState.COMPLETED:
             return
         kind = self._jobs[task_id.job].task_at(task_id.task).request.kind
+        self._health.record(worker.name, task_id.job, kind, is_failure)
+
+    def _available_count(self) -> int:
         now = asyncio.get_running_loop().time()
-        fleet_size = sum(each.is_available(now) for each in self._workers.values()) if is_failure else 0
-        if self._health.record(worker.name, task_id.job, kind, is_failure, fleet_size):
-            self._counters.add("worker_quarantined", self.workspace, worker.name)
+        return sum(worker.is_available(now) for worker in self._workers.values())
 
     def _return_to_queue(self, task_id: ids.TaskId) -> None:
         job = self._jobs.get(task_id.job)
--- a/src/cactusgauge/dispatch/job_queue.py
+++ b/src/cactusgauge/dispatch/job_queue.py
@@ -17,14 +17,14 @@
 
     __slots__ = ("job", "place", "tasks")
 
-    def __init__(self, job: "jobs.Job", place: tuple[float, int], tasks: "sortedcontainers.SortedList") -> None:
+    def __init__(self, job: "jobs.Job", place: tuple[float, float, int], tasks: "sortedcontainers.SortedList") -> None:
         self.job = job
         self.place = place
         self.tasks = tasks
 
 
 class JobQueue:
-    """Waiting tasks in the order of a `TaskOrdering`; equal jobs keep the order in which they were added.
+    """Waiting tasks in the order of a `TaskOrdering`; equal jobs go by arrival.
 
     A job's rank is taken when it is added and at each `update`. An update is needed whenever the rank falls, because
     a place in the queue does not follow by itself.
@@ -46,7 +46,7 @@
         waiting = self._waiting.get(job.id)
         if waiting is None:
             self._next_number += 1
-            place = (self._ordering.job_key(job), self._next_number)
+            place = (self._ordering.job_key(job), job.accepted_at, self._next_number)
             waiting = _Waiting(job, place, sortedcontainers.SortedList())
             self._waiting[job.id] = waiting
             self._places[place] = waiting
@@ -59,7 +59,7 @@
         waiting = self._waiting.get(job.id)
         if waiting is None:
             return
-        place = (self._ordering.job_key(job), waiting.place[1])
+        place = (self._ordering.job_key(job), *waiting.place[1:])
         if place != waiting.place:
             del self._places[waiting.place]
             waiting.place = place
--- a/src/cactusgauge/dispatch/speed_book.py
+++ b/src/cactusgauge/dispatch/speed_book.py
@@ -95,7 +95,8 @@
         known = self._kind(request)
         expected_s = max(self.expected_run_s(request), MIN_RUN_S)
         ratio = known.ratios.setdefault(worker, _Average(1.0))
-        normal_s = measured_s / (general.value * ratio.value)
+        # The ratios have no part in the mean: a kind that runs on few workers would else drift against its ratios.
+        normal_s = measured_s / general.value
         ratio.add(measured_s / (expected_s * general.value))
         general.add(measured_s / expected_s)
         known.mean_error.add(abs(math.log(normal_s / known.mean_s.value)))
--- a/src/cactusgauge/dispatch/worker_health.py
+++ b/src/cactusgauge/dispatch/worker_health.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge import ids, observability
 
 WINDOW = 16  # last outcomes of a worker, two for each of its slots
@@ -54,8 +56,16 @@
     returns. Probes are waiting tasks, one at a time, at intervals that double while they fail.
     """
 
-    def __init__(self, workspace: "ids.WorkspaceName", events: "observability.EventRing") -> None:
+    def __init__(
+        self,
+        workspace: "ids.WorkspaceName",
+        counters: "observability.Counters",
+        events: "observability.EventRing",
+        fleet_size: "abc.Callable[[], int]",
+    ) -> None:
+        self._fleet_size = fleet_size
         self._workspace = workspace
+        self._counters = counters
         self._events = events
         self._workers: dict[ids.AgentName, _Worker] = {}
         self._jobs: collections.OrderedDict[ids.JobId, dict[ids.AgentName, list[int]]] = collections.OrderedDict()
@@ -86,22 +96,27 @@
         if worker is not None:
             self._kinds.subtract((outcome.kind, outcome.failed) for outcome in worker.outcomes)
 
-    def record(self, name: "ids.AgentName", job: "ids.JobId", kind: str, failed: bool, fleet_size: int) -> bool:
-        """Take in an outcome among `fleet_size` workers; return whether the worker was quarantined by it."""
+    def record(self, name: "ids.AgentName", job: "ids.JobId", kind: str, failed: bool) -> None:
+        """Take in the end of a task at a worker."""
         worker = self._workers.setdefault(name, _Worker())
         self._remember(worker, name, _Outcome(job, kind, failed))
+        if not failed:
+            # The success may show that earlier failures of the same job were the fault of other workers.
+            for other, counts in self._jobs[job].items():
+                if counts[True]:
+                    self._judge(other)
         if worker.state is HealthState.HEALTHY:
-            return failed and self._judge(worker, name, fleet_size)
+            if failed:
+                self._judge(name)
+            return
         if worker.state is HealthState.QUARANTINED and asyncio.get_running_loop().time() < worker.probe_at:
-            return False  # the task was in flight before the quarantine, so it is no probe
+            return  # the task was in flight before the quarantine, so it is no probe
         if failed and self._is_blamed(worker, name):
             self._quarantine(worker, name, worker.probe_interval_s * 2)
-            return True
-        if worker.state is HealthState.QUARANTINED:
+        elif worker.state is HealthState.QUARANTINED:
             self._let_return(worker, name)
         elif not failed:
             self._widen(worker, name)
-        return False
 
     def _remember(self, worker: _Worker, name: "ids.AgentName", outcome: _Outcome) -> None:
         if len(worker.outcomes) == WINDOW:
@@ -116,16 +131,17 @@
         if len(self._jobs) > MAX_JOBS:
             self._jobs.popitem(last=False)
 
-    def _judge(self, worker: _Worker, name: "ids.AgentName", fleet_size: int) -> bool:
-        failures = sum(outcome.failed for outcome in worker.outcomes)
-        if failures < MIN_BLAME or failures < MIN_BLAMED_SHARE * len(worker.outcomes):
-            return False
-        if 2 * (len(self.quarantined) + 1) > fleet_size or not self._is_blamed(worker, name):
-            return False
-        self._quarantine(worker, name, FIRST_PROBE_S)
-        return True
+    def _judge(self, name: "ids.AgentName") -> None:
+        worker = self._workers.get(name)
+        if worker is None or worker.state is not HealthState.HEALTHY:
+            return
+        if self._is_blamed(worker, name) and 2 * (len(self.quarantined) + 1) <= self._fleet_size():
+            self._quarantine(worker, name, FIRST_PROBE_S)
 
     def _is_blamed(self, worker: _Worker, name: "ids.AgentName") -> bool:
+        failures = sum(outcome.failed for outcome in worker.outcomes)
+        if failures < max(MIN_BLAME, MIN_BLAMED_SHARE * len(worker.outcomes)):
+            return False
         blame: collections.Counter[ids.JobId] = collections.Counter()
         for outcome in worker.outcomes:
             if not outcome.failed:
@@ -156,6 +172,7 @@
         worker.probe_interval_s = min(probe_interval_s, MAX_PROBE_S)
         worker.probe_at = asyncio.get_running_loop().time() + worker.probe_interval_s
         failures = sum(outcome.failed for outcome in worker.outcomes)
+        self._counters.add("worker_quarantined", self._workspace, name)
         self._record_state("worker_quarantined", name, failures=failures, probe_in_s=worker.probe_interval_s)
 
     def _let_return(self, worker: _Worker, name: "ids.AgentName") -> None:
--- /dev/null
+++ b/tests/unit/dispatch/conftest.py
@@ -0,0 +1,82 @@
+"""Jobs, workers and dispatchers for the tests of dispatch."""
+
+from collections import abc
+from typing import Any
+
+import pytest
+
+from cactusgauge import configuration, dispatch, ids, jobs, observability, wire
+
+JobFactory = abc.Callable[..., jobs.Job]
+
+
+class LinkStub:
+    """Keeps the messages posted to an agent."""
+
+    def __init__(self) -> None:
+        self.posted: list[Any] = []
+        self.last_received = float("inf")
+
+    def post(self, message: Any) -> None:
+        """Keep a message."""
+        self.posted.append(message)
+
+    def starts(self) -> list[wire.Start]:
+        """Return the tasks sent."""
+        return [start for message in self.posted if isinstance(message, wire.Assign) for start in message.starts]
+
+
+def make_job(
+    number: int, run_ms: abc.Sequence[float | None], at: float = 0.0, deadline_ms: int = 30_000, kind: str = "k"
+) -> jobs.Job:
+    """Return a job with one task for each declared time."""
+    tasks = [jobs.TaskRequest(payload="", kind=kind, duration_ms=declared) for declared in run_ms]
+    request = jobs.JobRequest(tasks, deadline_ms, b"digest")
+    return jobs.Job(ids.JobId(ids.SessionId("s"), number), request, at, deadline_ms)
+
+
+def make_worker(name: str, slots: int = 8) -> tuple[dispatch.RemoteWorker, LinkStub]:
+    """Return a linked worker with free slots and its link."""
+    hello = wire.AgentHello(
+        1, ids.AgentName(name), ids.AgentIncarnation(name), ids.WorkspaceName("w"), ids.DataCentreName("d"), slots
+    )
+    worker = dispatch.RemoteWorker(hello, hello.data_centre)
+    link = LinkStub()
+    worker.attach(link, wire.Resume(0, slots, True))  # type: ignore[arg-type]
+    return worker, link
+
+
+class DispatchBench:
+    """A dispatcher with workers whose agents are played by the test."""
+
+    def __init__(self, workers: int, slots: int = 8, **settings: Any) -> None:
+        config = configuration.WorkspaceConfig(name=ids.WorkspaceName("w"), **settings)
+        self.finished: list[jobs.Job] = []
+        self.counters = observability.Counters()
+        self.events = observability.EventRing("test")
+        self.dispatcher = dispatch.Dispatcher(config, self.counters, self.events, self.finished.append)
+        self.links: list[LinkStub] = []
+        self.workers: list[dispatch.RemoteWorker] = []
+        for number in range(workers):
+            made, link = make_worker(str(number), slots)
+            hello = wire.AgentHello(1, made.name, made.incarnation, config.name, made.data_centre, slots)
+            worker = self.dispatcher.find_worker(hello)
+            self.dispatcher.attach(worker, link, wire.Resume(0, slots, True))  # type: ignore[arg-type]
+            self.workers.append(worker)
+            self.links.append(link)
+
+    def answer(self, number: int, state: str, reason: str = "", count: int | None = None) -> int:
+        """Let a worker's oldest tasks in flight end alike; return how many did."""
+        worker = self.workers[number]
+        ended = list(worker.in_flight)[:count]
+        outcomes = [wire.Outcome(each.session, each.number, each.task, state, reason, b"", 100) for each in ended]
+        if outcomes:
+            results = wire.Results(worker.last_result_number + 1, 0, worker.credit, outcomes)
+            self.dispatcher.take_results(worker, results)
+        return len(ended)
+
+
+@pytest.fixture
+def bench() -> type[DispatchBench]:
+    """Give the class, as tests choose the number of workers and the settings."""
+    return DispatchBench
--- /dev/null
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -0,0 +1,130 @@
+"""Admission, cancellation and bad workers at the dispatcher, on a paused clock."""
+
+import asyncio
+import random
+
+import pytest
+
+from cactusgauge import exceptions, ids, jobs
+from tests.unit.dispatch import conftest
+
+pytestmark = pytest.mark.looptime
+Bench = type[conftest.DispatchBench]
+
+
+async def _learn(bench: conftest.DispatchBench) -> None:
+    """Let the dispatcher see 100 ms for tasks of the default kind."""
+    bench.dispatcher.admit(conftest.make_job(0, [None] * 40, at=asyncio.get_running_loop().time()))
+    while not bench.finished:
+        await asyncio.sleep(0.1)
+        for number in range(len(bench.workers)):
+            bench.answer(number, "completed")
+
+
+def _job(number: int, count: int, deadline_ms: int = 30_000, declared: float | None = None) -> jobs.Job:
+    return conftest.make_job(number, [declared] * count, asyncio.get_running_loop().time(), deadline_ms)
+
+
+async def test_job_over_the_quota_is_refused_whole_with_a_hint(bench: Bench) -> None:
+    """Guards against a job that is queued in part, and against retries that cannot succeed."""
+    made = bench(1, max_queued_tasks=20)
+    made.dispatcher.admit(_job(1, 15))
+
+    with pytest.raises(exceptions.OverloadedError) as overloaded:
+        made.dispatcher.admit(_job(2, 6))
+    with pytest.raises(exceptions.JobNeverFitsError) as never:
+        made.dispatcher.admit(_job(3, 21))
+
+    assert made.dispatcher.queued_count == 15
+    assert [job.id.number for job in made.dispatcher.open_jobs] == [1]
+    assert overloaded.value.retry_after_s and overloaded.value.retry_after_s >= 1
+    assert never.value.retry_after_s is None
+    assert overloaded.value.ran is never.value.ran is exceptions.Ran.NOTHING
+
+
+async def test_deadline_that_cannot_be_met_is_refused_early(bench: Bench) -> None:
+    """Guards against jobs that wait for their deadline only to be refused then."""
+    made = bench(1)
+    await _learn(made)
+
+    with pytest.raises(exceptions.DeadlineTooShortError) as too_short:
+        made.dispatcher.admit(_job(1, 1, deadline_ms=20))
+    made.dispatcher.admit(_job(2, 80))
+    with pytest.raises(exceptions.DeadlineUnattainableError) as unattainable:
+        made.dispatcher.admit(_job(3, 300, deadline_ms=4500))
+    made.dispatcher.admit(_job(4, 1, deadline_ms=500))  # goes before the large job
+
+    assert too_short.value.retry_after_s is None
+    assert unattainable.value.retry_after_s == 1
+    assert made.dispatcher.queued_count == 81
+
+
+async def test_declared_times_alone_refuse_nothing(bench: Bench) -> None:
+    """Guards against a job refused because of a declaration that is wrong by a factor of ten."""
+    made = bench(1)
+
+    made.dispatcher.admit(_job(1, 1, deadline_ms=200, declared=1000))
+
+    assert made.dispatcher.queued_count == 1
+
+
+async def test_running_tasks_stay_within_the_quota_of_the_workspace(bench: Bench) -> None:
+    """Guards against a workspace that takes more slots than it was given."""
+    made = bench(2, max_running_tasks=5)
+    made.dispatcher.admit(_job(1, 30))
+    while not made.finished:
+        await asyncio.sleep(0.1)
+        assert made.dispatcher.running_count <= 5
+        made.answer(0, "completed", count=1)
+        made.answer(1, "completed", count=1)
+
+
+async def test_cancelling_most_of_the_queue_answers_every_job(bench: Bench) -> None:
+    """Guards against jobs without an answer and second starts after a burst of cancellations."""
+    made = bench(2)
+    source = random.Random(3)
+    admitted = [_job(number, source.randint(1, 30)) for number in range(200)]
+    for job in admitted:
+        made.dispatcher.admit(job)
+    await asyncio.sleep(0.01)
+
+    for job in source.sample(admitted, 180):
+        made.dispatcher.cancel(job)
+    while len(made.finished) < len(admitted):
+        await asyncio.sleep(0.1)
+        assert made.answer(0, "completed") + made.answer(1, "completed")
+
+    assert {job.id for job in made.finished} == {job.id for job in admitted}
+    starts = [ids.TaskId(each.session, each.number, each.task) for link in made.links for each in link.starts()]
+    assert len(starts) == len(set(starts)) == made.counters.get("tasks_completed")
+    assert made.dispatcher.queued_count == made.dispatcher.running_count == 0
+
+
+async def test_failing_worker_gets_only_probes(bench: Bench) -> None:
+    """Guards against a fast failure being taken for a free slot again and again."""
+    made = bench(4)
+    for number in range(100):
+        made.dispatcher.admit(_job(number, 20))
+    failures = 0
+    for _ in range(40):
+        await asyncio.sleep(0.1)
+        failures += made.answer(0, "failed", jobs.Reason.BACKEND_ERROR.value)
+        for worker in (1, 2, 3):
+            made.answer(worker, "completed")
+
+    assert failures <= 8 + 2  # the slots filled at first, then probes after 1 and 2 s more
+    assert made.counters.get("worker_quarantined") >= 1
+
+
+async def test_refused_start_is_sent_again_and_unknown_one_is_not(bench: Bench) -> None:
+    """Guards against a second start without proof that the first one did not happen."""
+    made = bench(1, slots=2)
+    made.dispatcher.admit(_job(1, 2))
+    await asyncio.sleep(0.01)
+    made.answer(0, "not_run", jobs.Reason.NO_SLOT.value, count=1)
+    made.answer(0, "unknown", jobs.Reason.CONNECTION_LOST.value, count=1)
+    await asyncio.sleep(0.01)
+    made.answer(0, "completed")
+
+    assert [start.task for start in made.links[0].starts()] == [0, 1, 0]
+    assert made.finished[0].state is jobs.JobState.FAILED
