Measure idle workers again, and keep the work ahead per job

A worker that was slow once got no work and so never showed that it had recovered; after 30 s without a measurement it counts as an average one and gets one task. Admission summed the expected times of every queued task for each new job; the queue now keeps the mean per job.

--- a/src/cactusgauge/dispatch/admission.py
+++ b/src/cactusgauge/dispatch/admission.py
@@ -69,9 +69,7 @@
             raise exceptions.DeadlineTooShortError(
                 f"the job takes at least {own_s:.2f} s on idle workers; its deadline is {allowed_s:.2f} s away"
             )
-        if own_s + len(queue) * self._mean_run_s(job) / rate <= allowed_s:
-            return
-        wait_s = self._work_ahead(job, queue) / rate
+        wait_s = queue.work_before(self._ordering.job_key(job)) / rate
         if own_s + wait_s > allowed_s:
             error = exceptions.DeadlineUnattainableError(
                 f"the work ahead takes {wait_s:.2f} s and the job {own_s:.2f} s; its deadline is {allowed_s:.2f} s away"
@@ -79,16 +77,6 @@
             error.retry_after_s = self._retry_s(own_s + wait_s - allowed_s)
             raise error
 
-    def _work_ahead(self, job: "jobs.Job", queue: "job_queue.JobQueue") -> float:
-        """Return the work, in seconds at slowness 1, of the waiting tasks that go before the job."""
-        key = self._ordering.job_key(job)
-        work_s = 0.0
-        for other, count in queue.waiting_jobs():
-            if self._ordering.job_key(other) > key:
-                break
-            work_s += self._mean_run_s(other) * count
-        return work_s
-
     def _capacity(self, workers: "abc.Collection[remote_worker.RemoteWorker]") -> float:
         """Return the seconds of work, at slowness 1, that the workers do in a second."""
         return sum(worker.credit / self._speeds.slowness(worker.name) for worker in workers)
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -217,6 +217,9 @@
                 continue
             allowed = self._health.allowed(worker.name, now)
             free = worker.free_slots
+            if not worker.in_flight and self._speeds.is_stale(worker.name, now):
+                self._speeds.forget_slowness(worker.name)
+                free = min(free, 1)  # measures it again at the risk of one slow task
             if allowed is not None:
                 free = min(free, max(0, allowed - len(worker.in_flight)))
             if free or allowed is None:
@@ -272,7 +275,7 @@
             return
         job = self._jobs[task_id.job]
         if state is jobs.TaskState.COMPLETED:
-            self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000)
+            self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000, now)
         self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms)
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
--- a/src/cactusgauge/dispatch/job_queue.py
+++ b/src/cactusgauge/dispatch/job_queue.py
@@ -13,14 +13,18 @@
 
 
 class _Waiting:
-    """One job's place in the queue and its waiting tasks as sorted pairs of rank and index."""
+    """One job's place in the queue and its waiting tasks as sorted pairs of rank and index.
 
-    __slots__ = ("job", "place", "tasks")
+    `mean_run_s` is the expected run time of a task, taken once, as the work ahead is summed up for every new job.
+    """
+
+    __slots__ = ("job", "mean_run_s", "place", "tasks")
 
-    def __init__(self, job: "jobs.Job", place: tuple[float, float, int], tasks: "sortedcontainers.SortedList") -> None:
+    def __init__(self, job: "jobs.Job", place: tuple[float, float, int], mean_run_s: float) -> None:
         self.job = job
         self.place = place
-        self.tasks = tasks
+        self.mean_run_s = mean_run_s
+        self.tasks = sortedcontainers.SortedList()
 
 
 class JobQueue:
@@ -47,7 +51,7 @@
         if waiting is None:
             self._next_number += 1
             place = (self._ordering.job_key(job), job.accepted_at, self._next_number)
-            waiting = _Waiting(job, place, sortedcontainers.SortedList())
+            waiting = _Waiting(job, place, self._mean_run_s(job))
             self._waiting[job.id] = waiting
             self._places[place] = waiting
         ranked = [self._rank(job, index) for index in indices]
@@ -86,10 +90,18 @@
             for _, index in waiting.tasks:
                 yield waiting.job, waiting.job.task_at(index)
 
-    def waiting_jobs(self) -> "abc.Iterator[tuple[jobs.Job, int]]":
-        """Yield the waiting jobs with the number of their waiting tasks, next one first."""
-        for waiting in self._places.values():
-            yield waiting.job, len(waiting.tasks)
+    def work_before(self, key: float) -> float:
+        """Return the expected work, in seconds at slowness 1, of the waiting tasks of jobs up to a rank."""
+        work_s = 0.0
+        for place, waiting in self._places.items():
+            if place[0] > key:
+                break
+            work_s += waiting.mean_run_s * len(waiting.tasks)
+        return work_s
+
+    def _mean_run_s(self, job: "jobs.Job") -> float:
+        requests = (job.task_at(index).request for index in range(job.task_count))
+        return sum(self._speeds.expected_run_s(request) for request in requests) / job.task_count
 
     def _rank(self, job: "jobs.Job", index: int) -> tuple[float, int]:
         expected_run_s = self._speeds.expected_run_s(job.task_at(index).request)
--- a/src/cactusgauge/dispatch/speed_book.py
+++ b/src/cactusgauge/dispatch/speed_book.py
@@ -13,6 +13,7 @@
 MIN_WEIGHT = 0.05  # of a new measurement: follows a change of speed within some 20 tasks
 MAX_KINDS = 1_000  # kinds are named by callers; the least recently seen are forgotten
 RESCALE_TASKS = 256
+RELEARN_S = 30.0  # a worker that got no work for so long may have become faster
 
 
 class _Average:
@@ -57,13 +58,9 @@
     def __init__(self) -> None:
         self._kinds: collections.OrderedDict[str, _Kind] = collections.OrderedDict()
         self._slowness: dict[ids.AgentName, _Average] = {}
+        self._learned_at: dict[ids.AgentName, float] = {}
         self._learned = 0
 
-    @property
-    def learned_count(self) -> int:
-        """Number of completed tasks taken in."""
-        return self._learned
-
     def slowness(self, worker: "ids.AgentName", kind: str | None = None) -> float:
         """Return the learned slowness of a worker, for a kind of task if one is given; 1 if it is unknown."""
         general = self._slowness.get(worker)
@@ -88,8 +85,22 @@
             return declared_s * math.exp(known.bias.value)
         return known.mean_s.value
 
-    def learn(self, worker: "ids.AgentName", request: "jobs.TaskRequest", run_s: float) -> None:
-        """Take in one completed task."""
+    def is_stale(self, worker: "ids.AgentName", now: float) -> bool:
+        """Whether a worker's slowness was last measured more than RELEARN_S ago."""
+        learned_at = self._learned_at.get(worker)
+        return learned_at is not None and now - learned_at > RELEARN_S
+
+    def forget_slowness(self, worker: "ids.AgentName") -> None:
+        """Take a worker for an average one again, unless it was better than that."""
+        general = self._slowness.get(worker)
+        if general is not None and general.value > 1:
+            self._slowness[worker] = _Average(1.0)
+            for known in self._kinds.values():
+                known.ratios.pop(worker, None)
+
+    def learn(self, worker: "ids.AgentName", request: "jobs.TaskRequest", run_s: float, now: float) -> None:
+        """Take in one completed task at the loop time `now`."""
+        self._learned_at[worker] = now
         measured_s = max(run_s, MIN_RUN_S)
         general = self._slowness.setdefault(worker, _Average(1.0))
         known = self._kind(request)
--- a/tests/unit/dispatch/test_policies.py
+++ b/tests/unit/dispatch/test_policies.py
@@ -7,6 +7,7 @@
 from cactusgauge import dispatch, ids, jobs
 from cactusgauge.dispatch import ordering as ordering_module
 from cactusgauge.dispatch import placement as placement_module
+from cactusgauge.dispatch import speed_book
 from tests.unit.dispatch import conftest
 
 ORDERINGS = [dispatch.ArrivalOrdering(), dispatch.FewestRemainingOrdering()]
@@ -107,7 +108,7 @@
         running = conftest.make_job(100 + number, [None] * busy) if busy else None
         tasks = [(running, running.task_at(index), 0.1 * index) for index in range(busy)] if running else []
         worker.assign(tasks, 0, 0.0)
-        speeds.learn(worker.name, jobs.TaskRequest(payload="", kind="k", duration_ms=100), run_ms / 1000)
+        speeds.learn(worker.name, jobs.TaskRequest(payload="", kind="k", duration_ms=100), run_ms / 1000, 0)
         slots.append(dispatch.WorkerSlots(worker, free, 0.05))
     waiting = [conftest.make_job(number, [50.0 + 37 * size] * size) for number, size in enumerate(sizes)]
     queue = dispatch.JobQueue(dispatch.FewestRemainingOrdering(), speeds)
@@ -137,7 +138,7 @@
     request = jobs.TaskRequest(payload="", kind="k", duration_ms=100)
     for _ in range(200):
         for name, run_s in (("slow", 0.2), ("fast", 0.05)):
-            speeds.learn(ids.AgentName(name), request, run_s)
+            speeds.learn(ids.AgentName(name), request, run_s, 0)
     slow, _ = conftest.make_worker("slow")
     fast, _ = conftest.make_worker("fast")
     waiting = conftest.make_job(1, [100.0] * 40)
@@ -166,7 +167,7 @@
     for number in range(200):
         run_s = 0.05 * (1 + number % 4)
         request = jobs.TaskRequest(payload="", kind="k", duration_ms=run_s * 1000 * factor)
-        speeds.learn(ids.AgentName("w"), request, run_s)
+        speeds.learn(ids.AgentName("w"), request, run_s, 0)
 
     expected_s = speeds.expected_run_s(request) * speeds.slowness(ids.AgentName("w"), "k")
 
@@ -178,7 +179,7 @@
     speeds = dispatch.SpeedBook()
     for number in range(200):
         request = jobs.TaskRequest(payload="", kind="k", duration_ms=100 * (0.1, 10)[number % 2])
-        speeds.learn(ids.AgentName("w"), request, 0.1)
+        speeds.learn(ids.AgentName("w"), request, 0.1, 0)
 
     assert speeds.expected_run_s(request) * speeds.slowness(ids.AgentName("w"), "k") == pytest.approx(0.1, rel=0.1)
 
@@ -188,9 +189,23 @@
     speeds = dispatch.SpeedBook()
     common, rare = (jobs.TaskRequest(payload="", kind=kind) for kind in ("common", "rare"))
     for _ in range(2000):
-        speeds.learn(ids.AgentName("fast"), common, 0.05)
-        speeds.learn(ids.AgentName("slow"), common, 0.2)
-        speeds.learn(ids.AgentName("fast"), rare, 1.0)
+        speeds.learn(ids.AgentName("fast"), common, 0.05, 0)
+        speeds.learn(ids.AgentName("slow"), common, 0.2, 0)
+        speeds.learn(ids.AgentName("fast"), rare, 1.0, 0)
 
     fast, slow = (speeds.slowness(ids.AgentName(name)) for name in ("fast", "slow"))
     assert slow / fast == pytest.approx(4, rel=0.2)
+
+
+def test_idle_worker_is_measured_again_as_an_average_one() -> None:
+    """Guards against a worker that was slow once and never gets work again."""
+    speeds = dispatch.SpeedBook()
+    request = jobs.TaskRequest(payload="", kind="k", duration_ms=100)
+    for _ in range(100):
+        speeds.learn(ids.AgentName("slow"), request, 1.0, 0)
+        speeds.learn(ids.AgentName("fast"), request, 0.1, 0)
+
+    assert not speeds.is_stale(ids.AgentName("slow"), speed_book.RELEARN_S)
+    assert speeds.is_stale(ids.AgentName("slow"), speed_book.RELEARN_S + 1)
+    speeds.forget_slowness(ids.AgentName("slow"))
+    assert speeds.slowness(ids.AgentName("slow"), "k") == 1.0
