--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -15,7 +15,10 @@
 
     def __init__(self) -> None:
         self.posted: list[Any] = []
-        self.last_received = float("inf")
+        self.is_silent = False
+
+    def set_active(self, active: bool) -> None:
+        """Ignore how often heartbeats are due."""
 
     def post(self, message: Any) -> None:
         """Keep a message."""
