Refuse to measure with two backend servers on one port

A cancellation run reported 510 duplicate starts and 15 refused starts. Cause: two backend server stand-ins were given the same free port; the one that could not listen kept announcing itself, so the other one answered for both, refused starts under the other's lease, and its report was counted twice (510 is exactly its number of starts, and tasks sent less refusals equal the starts counted once: 4932). The script now starts again in that case.

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -159,6 +159,7 @@
                 processes.start_worker(number, *options)
             processes.wait_ready(ENTRY)
             processes.wait_linked(ENTRY, len(mix.fleet.speeds))
+            _check_servers(processes, len(mix.fleet.speeds))
         except TimeoutError as error:
             click.echo(str(error), err=True)
             processes.__exit__()
@@ -168,6 +169,13 @@
     raise click.ClickException(f"the processes did not come up in {MAX_STARTS} attempts")
 
 
+def _check_servers(processes: PolicyCluster, count: int) -> None:
+    """Raise `TimeoutError` if two backend servers got the same port: one of them then answers for both."""
+    names = {report["name"] for report in processes.server_reports()}
+    if len(names) != count:
+        raise TimeoutError(f"only {len(names)} of {count} backend servers answer for themselves")
+
+
 def _count_events(processes: cluster.Cluster, kind: str) -> float:
     rows = processes.get_json(ENTRY, "/v1/status")["counters"]
     return float(sum(value for name, _, _, value in rows if name == kind))
