--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -31,12 +31,13 @@
         workspace: "ids.WorkspaceName",
         data_centre: "ids.DataCentreName",
         slots: int,
+        http_url: str,
         directory: "entry_directory.EntryDirectory",
         controller: "start_controller.StartController",
         counters: "observability.Counters",
         events: "observability.EventRing",
     ) -> None:
-        self._hello = wire.AgentHello(wire.PROTOCOL_VERSION, name, incarnation, workspace, data_centre, slots)
+        self._hello = wire.AgentHello(wire.PROTOCOL_VERSION, name, incarnation, workspace, data_centre, slots, http_url)
         self._directory = directory
         self._controller = controller
         self._counters = counters
@@ -135,6 +136,8 @@
                 self._controller.set_demand(ledger, message.demand)
             case wire.Entries():
                 self._directory.report(url, message.entries)
+            case wire.AgentConfig():
+                self._controller.configure(message)
             case wire.Seal():
                 link.post(self._controller.seal(message))
             case _:
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from cactusgauge import configuration, exceptions, ids, jobs, wire
+from cactusgauge import accounting, configuration, exceptions, ids, jobs, wire
 from cactusgauge.dispatch import (
     admission,
     job_queue,
@@ -52,10 +52,11 @@
         jobs.Reason.CONNECTION_REFUSED.value,
         jobs.Reason.REFUSED_BY_BACKEND_SERVER.value,
         jobs.Reason.INTERNAL_ERROR.value,
-        jobs.Reason.DEADLINE.value,
     }
 )
 
+HUNG_FACTOR = 5.0  # a task cut off at its deadline counts against the worker only after so many expected run times
+
 
 class Dispatcher:
     """Queues the tasks of a workspace's owned jobs and sends each to at most one agent at a time.
@@ -77,6 +78,8 @@
         self._jobs: dict[ids.JobId, jobs.Job] = {}
         self._speeds = speed_book.SpeedBook()
         self._health = worker_health.WorkerHealth(config.name, counters, events, self._available_count)
+        # Kept for agents that were replaced too, as accounts are cumulative.
+        self._accounts: dict[tuple[ids.AgentName, ids.AgentIncarnation], accounting.PairAccount] = {}
         self._dispatch_scheduled = False
         self._replan: asyncio.TimerHandle | None = None
         self.apply(config)
@@ -116,6 +119,12 @@
         """The jobs that are not finished."""
         return list(self._jobs.values())
 
+    def pair_totals(self) -> list[accounting.PairTotals]:
+        """Return the account with every agent incarnation."""
+        return [
+            account.totals(incarnation, name, self.workspace) for (name, incarnation), account in self._accounts.items()
+        ]
+
     def apply(self, config: "configuration.WorkspaceConfig") -> None:
         """Put a version of the workspace's configuration in force."""
         self._config = config
@@ -139,11 +148,12 @@
         self._queue.add(job, range(job.task_count))
         self._counters.add("jobs_accepted", self.workspace, "")
         self._counters.add("tasks_accepted", self.workspace, "", job.task_count)
-        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count)
+        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count, workspace=self.workspace)
         self.schedule()
 
     def cancel(self, job: jobs.Job) -> None:
         """Refuse the queued tasks of a job; running ones finish."""
+        self._events.record("job_cancelled", job=str(job.id), queued=job.queued_count)
         self._refuse_queued(job, jobs.Reason.CANCELLED)
 
     def schedule(self) -> None:
@@ -160,7 +170,8 @@
         if known is not None:
             self._abandon(known, jobs.Reason.AGENT_RESTARTED)
             self._health.forget(hello.name)
-        created = remote_worker.RemoteWorker(hello, hello.data_centre)
+        account = self._accounts.setdefault((hello.name, hello.incarnation), accounting.PairAccount())
+        created = remote_worker.RemoteWorker(hello, hello.data_centre, account)
         self._workers[hello.name] = created
         return created
 
@@ -180,8 +191,9 @@
             self._counters.add("messages_wasted", self.workspace, "repeated_results")
             return
         worker.update_state(results.credit, worker.serving)
-        for outcome in results.outcomes:
-            self._take_outcome(worker, outcome)
+        useless = [self._take_outcome(worker, outcome) for outcome in results.outcomes]
+        if useless and all(useless):
+            self._counters.add("messages_wasted", self.workspace, useless[0])
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
@@ -252,38 +264,65 @@
         for worker in self._workers.values():
             batch = batches.get(worker.name, [])
             if batch:
-                worker.assign([(each.job, each.task, each.run_s) for each in batch], len(self._queue), now)
+                starts = [(each.job, each.task, each.run_s) for each in batch]
+                number = worker.assign(starts, len(self._queue), now).number
                 self._counters.add("tasks_sent", self.workspace, "", len(batch))
                 for each in batch:
-                    self._events.record("task_sent", job=str(each.job.id), task=each.task.index, worker=worker.name)
+                    self._events.record(
+                        "task_sent",
+                        job=str(each.job.id),
+                        task=each.task.index,
+                        worker=worker.name,
+                        assign=number,
+                    )
             elif self._queue and not worker.shown_demand and not worker.free_slots and worker.is_available(now):
                 worker.assign([], len(self._queue), now)
 
-    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> None:
+    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> str:
+        """Take in one outcome; return why it is of no use, or an empty string."""
         task_id = ids.TaskId(outcome.session, outcome.number, outcome.task)
-        if worker.end(task_id) is None or task_id.job not in self._jobs:
-            self._counters.add("messages_wasted", self.workspace, "late_result")
-            return
+        sent = worker.end(task_id)
+        if sent is None or task_id.job not in self._jobs:
+            self._counters.add("outcomes_late", self.workspace, "")
+            return "late_result"
         now = asyncio.get_running_loop().time()
         state = jobs.TaskState(outcome.state)
-        self._judge(worker, task_id, state, outcome.reason)
+        self._judge(worker, task_id, state, outcome.reason, sent)
         if state is jobs.TaskState.NOT_RUN and outcome.reason != jobs.Reason.SEALED.value:
-            self._counters.add("messages_wasted", self.workspace, outcome.reason)
             if outcome.reason in PAUSING_REASONS:
                 worker.pause(now)
+            self._events.record(
+                "task_returned",
+                job=str(task_id.job),
+                task=outcome.task,
+                worker=worker.name,
+                assign=sent.number,
+                reason=outcome.reason,
+            )
             self._return_to_queue(task_id)
-            return
+            return outcome.reason
         job = self._jobs[task_id.job]
         if state is jobs.TaskState.COMPLETED:
             self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000, now)
-        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms)
+        origin: dict[str, str | int] = {"worker": worker.name, "assign": sent.number}
+        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms, origin)
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
+        return ""
 
     def _judge(
-        self, worker: remote_worker.RemoteWorker, task_id: ids.TaskId, state: jobs.TaskState, reason: str
+        self,
+        worker: remote_worker.RemoteWorker,
+        task_id: ids.TaskId,
+        state: jobs.TaskState,
+        reason: str,
+        sent: remote_worker.InFlight,
     ) -> None:
         is_failure = reason in FAULTY_REASONS
+        if reason == jobs.Reason.DEADLINE.value:
+            # Under overload many tasks are cut off soon after their start, which says nothing about the worker.
+            ran_s = asyncio.get_running_loop().time() - sent.sent_at
+            is_failure = ran_s > HUNG_FACTOR * (sent.expected_end - sent.sent_at)
         if not is_failure and state is not jobs.TaskState.COMPLETED:
             return
         kind = self._jobs[task_id.job].task_at(task_id.task).request.kind
@@ -322,7 +361,8 @@
         for task_id in worker.abandon():
             job = self._jobs.get(task_id.job)
             if job is not None:
-                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value)
+                origin = {"worker": worker.name}
+                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value, origin=origin)
 
     def _finish_task(
         self,
@@ -332,11 +372,14 @@
         reason: str = "",
         result: bytes = b"",
         run_ms: float = 0,
+        origin: "abc.Mapping[str, str | int] | None" = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         if job.finish_task(index, state, now, reason, result, run_ms):
             self._counters.add(f"tasks_{state.value}", self.workspace, reason)
-            self._events.record("task_ended", job=str(job.id), task=index, state=state.value, reason=reason)
+            self._events.record(
+                "task_ended", job=str(job.id), task=index, state=state.value, reason=reason, **(origin or {})
+            )
             self._queue.update(job)
         self._settle(job)
 
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -116,6 +116,20 @@
     assert made.counters.get("worker_quarantined") >= 1
 
 
+@pytest.mark.parametrize(("ran_s", "quarantined"), [(0.2, 0), (20.0, 1)])
+async def test_only_long_overdue_tasks_count_against_a_worker_at_their_deadline(
+    bench: Bench, ran_s: float, quarantined: int
+) -> None:
+    """Guards against healthy workers quarantined because an overload lets jobs run into their deadlines."""
+    made = bench(4)
+    for number in range(100):
+        made.dispatcher.admit(_job(number, 1))
+    await asyncio.sleep(ran_s)
+    made.answer(0, "unknown", jobs.Reason.DEADLINE.value)
+
+    assert made.counters.get("worker_quarantined") == quarantined
+
+
 async def test_refused_start_is_sent_again_and_unknown_one_is_not(bench: Bench) -> None:
     """Guards against a second start without proof that the first one did not happen."""
     made = bench(1, slots=2)
