Measure with published configuration instead of an own entry start

The emulator now has a log, so the script publishes the policies as the first configuration and starts the entry as every other process.

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -3,7 +3,6 @@
 Each arm runs in a fresh set of processes; the arms of a case run one after the other with the same mix and seed.
 """
 
-import asyncio
 import contextlib
 import json
 import os
@@ -18,8 +17,7 @@
 
 import click
 
-from cactusgauge import configuration, load, settings
-from cactusgauge.entry import entry_daemon
+from cactusgauge import configuration, load
 from emulator import cluster
 
 ENTRY = "entry-1"
@@ -30,47 +28,23 @@
 
 
 class PolicyCluster(cluster.Cluster):
-    """Processes whose entry runs with given workspace settings instead of the defaults."""
+    """Processes whose first configuration holds given workspace settings."""
 
     def __init__(self, directory: pathlib.Path, workspace_settings: dict[str, Any]) -> None:
         super().__init__(directory)
         self._workspace_settings = workspace_settings
 
-    def _start_daemon(self, name: str, document: dict[str, Any]) -> cluster.ProcessHandle:
-        if document["role"] != "entry":
-            return super()._start_daemon(name, document)
-        path = self._directory / f"{name}.json"
-        path.write_text(json.dumps(document))
-        command = [sys.executable, __file__, "entry", str(path), json.dumps(self._workspace_settings)]
-        return self._start(name, command, f"http://{cluster.HOST}:{document['http_port']}")
-
-
-@click.group()
-def main() -> None:
-    """Measure scheduling policies."""
-
-
-@main.command(hidden=True)
-@click.argument("path", type=click.Path(path_type=pathlib.Path))
-@click.argument("workspace_settings", type=json.loads)
-def entry(path: pathlib.Path, workspace_settings: dict[str, Any]) -> None:
-    """Run an entry with fixed workspace settings."""
-    own = settings.EntrySettings.model_validate_json(path.read_text())
-    configs = {
-        name: configuration.WorkspaceConfig.model_validate({"name": name, **workspace_settings})
-        for name in own.workspaces
-    }
-    source = configuration.StaticConfigSource(configuration.Configuration(0, configs))
-    asyncio.run(_run_entry(own, source))
-
-
-async def _run_entry(own: settings.EntrySettings, source: configuration.ConfigSource) -> None:
-    daemon = entry_daemon.EntryDaemon(own, source)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, daemon.stop)
-    await daemon.run()
+    def _first_change(self) -> configuration.ChangeRecord:
+        change = super()._first_change()
+        templates = {
+            name: template.model_copy(update={"settings": {**template.settings, **self._workspace_settings}})
+            for name, template in change.templates.items()
+            if template is not None
+        }
+        return change.model_copy(update={"templates": templates})
 
 
-@main.command()
+@click.command()
 @click.option("--mix", "mix_name", default="deployment", show_default=True, help="Name of a mix in examples/mixes.")
 @click.option("--loads", default="0.5,0.8,0.95", show_default=True, help="Shares of the capacity; empty: the mix's.")
 @click.option(
@@ -87,7 +61,7 @@
 @click.option("--set", "overrides", default="{}", help="Further workspace settings as a JSON object.")
 @click.option("--output", type=click.Path(path_type=pathlib.Path), help="File to which a JSON line is added per run.")
 @click.option("--profile", is_flag=True, help="Also print the CPU time of the entry.")
-def run(
+def main(
     mix_name: str,
     loads: str,
     arms: tuple[str, ...],
