--- a/src/cactusgauge/dispatch/ordering.py
+++ b/src/cactusgauge/dispatch/ordering.py
@@ -6,7 +6,7 @@
 if TYPE_CHECKING:
     from cactusgauge import jobs
 
-AGEING_TASKS_PER_S = 12.0  # a job of 340 tasks passes a new one-task job after 28 s at the latest
+AGEING_TASKS_PER_S = 2.0  # a job of 340 tasks passes a new one-task job after 170 s at the latest
 
 
 class TaskOrdering(abc.ABC):
