--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -5,6 +5,8 @@
 from collections import abc
 from typing import NamedTuple
 
+import pytest
+
 from cactusgauge import configuration, exceptions, ids, jobs, observability, wire
 from cactusgauge.agent import (
     backend_server_lease,
@@ -17,6 +19,7 @@
 )
 from cactusgauge.entry import agent_links, job_service, membership
 from tests.unit import conftest
+from tests.unit.dispatch import bench as bench_module
 
 SETTLE_TURNS = 12
 SLOTS = 2
@@ -361,3 +364,9 @@
             entry.service.sweep()
         for agent in self.agents:
             agent.controller.refresh()
+
+
+@pytest.fixture
+def bench() -> type[bench_module.DispatchBench]:
+    """Give the class, as tests choose the number of workers and the settings."""
+    return bench_module.DispatchBench
