--- a/tests/unit/dispatch/test_dispatcher_policy.py
+++ b/tests/unit/dispatch/test_dispatcher_policy.py
@@ -138,6 +138,8 @@
     made.answer(0, "not_run", jobs.Reason.NO_SLOT.value, count=1)
     made.answer(0, "unknown", jobs.Reason.CONNECTION_LOST.value, count=1)
     await asyncio.sleep(1.1)  # a refusal within the credit pauses the worker for 1 s
+    made.dispatcher.sweep()
+    await asyncio.sleep(0.01)
     made.answer(0, "completed")
 
     assert [start.task for start in made.links[0].starts()] == [0, 1, 0]
