Offer free slots in turn when there are more entries than slots

Cause: shares that do not divide evenly went to the entries that sort first by incarnation. With more entries showing demand than slots, those that sort last had a share of zero for as long as the others had work. Ruled out: the hard limit; no sequence of calls passes it. Ordering the shares by the last turn alone still starved entries, as the entry whose task ends is the first to use the slot. Conclusion: a free slot is offered to one entry, the one that waited longest.

--- a/src/cactusgauge/agent/slot_gate.py
+++ b/src/cactusgauge/agent/slot_gate.py
@@ -4,14 +4,21 @@
 
 from cactusgauge import ids
 
+MAX_TURNS = 1_000  # entry incarnations whose last turn is remembered; an agent is linked to a few at a time
+
 
 class SlotGate:
-    """Counts running tasks per entry and divides the slots between the entries that show demand."""
+    """Counts running tasks per entry and divides the slots between the entries that show demand.
+
+    If there are more such entries than slots, each free slot is offered to the one that took a slot longest ago.
+    """
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
         self._running: collections.Counter[ids.EntryIncarnation] = collections.Counter()
         self._demand: dict[ids.EntryIncarnation, int] = {}
+        self._turns: dict[ids.EntryIncarnation, int] = {}
+        self._turn = 0
 
     @property
     def slots(self) -> int:
@@ -36,19 +43,32 @@
 
     def credit(self, entry: ids.EntryIncarnation) -> int:
         """Return how many tasks an entry may have running now."""
-        others = sorted(self._demand.keys() - {entry})
-        sharers = sorted([*others, entry])
+        sharers = sorted({*self._demand, entry})
         share, rest = divmod(self._slots, len(sharers))
+        if not share:
+            return self._offer(entry, sharers)
         if sharers.index(entry) < rest:
             share += 1
         used_by_others = self.running - self._running[entry]
         return max(0, min(share, self._slots - used_by_others))
 
+    def _offer(self, entry: ids.EntryIncarnation, sharers: list[ids.EntryIncarnation]) -> int:
+        if self._running[entry]:
+            return 1
+        waiting = [sharer for sharer in sharers if not self._running[sharer]]
+        waiting.sort(key=lambda sharer: self._turns.get(sharer, 0))
+        return int(waiting.index(entry) < self._slots - self.running)
+
     def acquire(self, entry: ids.EntryIncarnation) -> bool:
         """Take a slot for an entry; return False if all slots are taken."""
         if self.running >= self._slots:
             return False
         self._running[entry] += 1
+        self._turn += 1
+        self._turns.pop(entry, None)
+        self._turns[entry] = self._turn
+        if len(self._turns) > MAX_TURNS:
+            del self._turns[next(iter(self._turns))]
         return True
 
     def release(self, entry: ids.EntryIncarnation) -> None:
