Refuse renewals of a lease that was ended

A renewal that was under way when its server left gave the server new work again, and a server that had been replaced took the lease back from its successor with each renewal. Ruled out: expiry; validity is checked at the moment of use, and a lease that only expired is granted anew, as its server may just have been paused. Before: a reference that keeps all leases finds an ended lease renewed. After: such a renewal is refused with 409 lease_ended. Conclusion: the last 64 ended leases are remembered.

--- a/src/cactusgauge/agent/backend_server_lease.py
+++ b/src/cactusgauge/agent/backend_server_lease.py
@@ -1,12 +1,14 @@
 """The lease under which an agent may start tasks at its backend server."""
 
 import asyncio
+import collections
 from typing import NamedTuple
 
 from cactusgauge import ids
 
 DEFAULT_TTL_S = 3.0  # the bound on new work for a backend server that is leaving
 MIN_TTL_S = 0.2
+MAX_ENDED = 64  # ids of ended leases, for renewals that were under way at the end
 
 
 class Lease(NamedTuple):
@@ -27,6 +29,7 @@
 
     def __init__(self) -> None:
         self._lease: Lease | None = None
+        self._ended: collections.deque[ids.LeaseId] = collections.deque(maxlen=MAX_ENDED)
 
     @property
     def valid(self) -> Lease | None:
@@ -35,13 +38,21 @@
             return None
         return self._lease
 
-    def announce(self, name: str, url: str, lease_id: ids.LeaseId | None, ttl_s: float = DEFAULT_TTL_S) -> Lease:
-        """Renew the lease of `lease_id`, or grant a new one if it is not the valid one."""
+    def announce(self, name: str, url: str, lease_id: ids.LeaseId | None, ttl_s: float = DEFAULT_TTL_S) -> Lease | None:
+        """Renew the lease of `lease_id`, or grant a new one if it has expired or is not known.
+
+        Return None for a lease that was ended by a leave or replaced: a renewal that is late must bring no work to a
+        server that left, and take none from its successor.
+        """
+        if lease_id in self._ended:
+            return None
         current = self.valid
         expires_at = asyncio.get_running_loop().time() + min(max(ttl_s, MIN_TTL_S), DEFAULT_TTL_S)
         if current is not None and current.id == lease_id and current.url == url:
             self._lease = current._replace(expires_at=expires_at)
         else:
+            if current is not None:
+                self._ended.append(current.id)
             self._lease = Lease(ids.new_lease_id(), name, url, expires_at)
         return self._lease
 
@@ -49,5 +60,6 @@
         """End a lease; return False if it is not the current one."""
         if self._lease is None or self._lease.id != lease_id:
             return False
+        self._ended.append(lease_id)
         self._lease = None
         return True
--- a/src/cactusgauge/agent/backend_server_resource.py
+++ b/src/cactusgauge/agent/backend_server_resource.py
@@ -52,6 +52,11 @@
         granted = self._lease.announce(
             announcement.name, announcement.url, announcement.lease, announcement.ttl_ms / MILLISECONDS_PER_SECOND
         )
+        if granted is None:
+            message = f"lease {announcement.lease} was ended; announce the server without a lease"
+            response.status = 409
+            response.media = {"code": "lease_ended", "message": message, "ran": "nothing"}
+            return
         self._controller.refresh()
         response.media = {"lease": granted.id}
 
--- /dev/null
+++ b/tests/unit/agent/test_backend_server_lease.py
@@ -0,0 +1,92 @@
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cactusgauge import ids
+from cactusgauge.agent import backend_server_lease
+from tests.unit.agent import conftest
+
+URLS = ("http://127.0.0.1:1", "http://127.0.0.1:2")
+TTL_S = backend_server_lease.DEFAULT_TTL_S
+ACTIONS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(strategies.just("announce"), strategies.integers(0, 3), strategies.integers(0, 1)),
+        strategies.tuples(strategies.just("leave"), strategies.integers(0, 3), strategies.just(0)),
+        strategies.tuples(strategies.just("advance"), strategies.integers(0, 40), strategies.just(0)),
+    ),
+    max_size=25,
+)
+
+
+class _UncheckedLease(backend_server_lease.BackendServerLease):
+    """Relies on a timer that ends the lease, which does not run while the process is paused."""
+
+    @property
+    def valid(self) -> backend_server_lease.Lease | None:
+        """The lease, whatever the time is."""
+        return self._lease
+
+
+class _ForgettingLease(backend_server_lease.BackendServerLease):
+    """Takes any announcement as a new one."""
+
+    def announce(
+        self, name: str, url: str, lease_id: ids.LeaseId | None, ttl_s: float = TTL_S
+    ) -> backend_server_lease.Lease | None:
+        """Grant a lease."""
+        self._ended.clear()
+        return super().announce(name, url, lease_id, ttl_s)
+
+
+def _check(lease_type: type[backend_server_lease.BackendServerLease]) -> None:
+    """Compare with a reference that keeps all leases, each with its end."""
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(ACTIONS)
+    def run(actions: list[tuple[str, int, int]]) -> None:
+        clock, lease = conftest.Clock(), lease_type()
+        granted: list[ids.LeaseId | None] = [None]
+        expires: dict[ids.LeaseId, float] = {}
+        ended: set[ids.LeaseId] = set()
+        for action, choice, url in actions:
+            chosen = granted[-1 - choice % len(granted)]
+            before = clock.call(lambda: lease.valid)
+            if action == "advance":
+                clock.advance(choice / 10)
+            elif action == "leave":
+                left = clock.call(lambda chosen=chosen: lease.leave(chosen or ids.LeaseId("")))  # type: ignore[misc]
+                if left:
+                    assert chosen is not None
+                    ended.add(chosen)
+            else:
+                new = clock.call(lambda chosen=chosen, url=url: lease.announce("s", URLS[url], chosen))  # type: ignore[misc]
+                assert (new is None) == (chosen in ended), "an ended lease was renewed"
+                if new is not None:
+                    if before is not None and before.id != new.id:
+                        ended.add(before.id)
+                    assert new.id not in ended
+                    expires[new.id] = clock.loop.now + TTL_S
+                    granted.append(new.id)
+            valid = clock.call(lambda: lease.valid)
+            if valid is not None:
+                assert clock.loop.now < expires[valid.id], "an expired lease is used"
+                assert valid.id not in ended
+
+    run()
+
+
+def test_no_lease_is_valid_after_its_end() -> None:
+    """Guards against starts after expiry, also after a pause, after a leave, and under a late renewal."""
+    _check(backend_server_lease.BackendServerLease)
+
+
+@pytest.mark.parametrize(
+    ("lease_type", "violation"),
+    [(_UncheckedLease, "expired lease is used"), (_ForgettingLease, "ended lease was renewed")],
+)
+def test_naive_leases_are_used_after_their_end(
+    lease_type: type[backend_server_lease.BackendServerLease], violation: str
+) -> None:
+    """Shows that the check above can fail."""
+    with pytest.raises(AssertionError, match=violation):
+        _check(lease_type)
