Hold the bound on bytes of the start log at every change

Cause: the start log was trimmed only when an outcome was added. Starts that the backend server refuses leave a record of their job until it expires, and a record that could not be dropped while its task ran stayed when the task was removed. Ruled out: running tasks; they are never dropped. Before: 100 refused starts take 30,000 bytes under a bound of 4,000. After: within the bound, but for jobs with running tasks. Conclusion: every method that changes the size trims.

--- a/src/cactusgauge/agent/start_log.py
+++ b/src/cactusgauge/agent/start_log.py
@@ -46,6 +46,7 @@
         """Record a task before it is started."""
         record = self._touch(ids.JobId(start.session, start.number), start.task_count, start.digest)
         record.running.add(start.task)
+        self._trim()
 
     def add_outcome(self, outcome: wire.Outcome) -> None:
         """Record the end of a started task."""
@@ -63,6 +64,7 @@
         record = self._jobs.get(task.job)
         if record is not None:
             record.running.discard(task.task)
+            self._trim()
 
     def find(self, job: ids.JobId) -> JobStarts | None:
         """Return the record of a job."""
