Report a result without a stated length as unknown

Cause: an answer of status 200 with neither Content-Length nor chunked encoding ends where the connection ends. Ruled out: all other places at which the connection can end: in the status line, the headers, a body of stated length, within and between chunks; aiohttp reports each of them. Before: the task is reported as completed. After: unknown (connection_lost). Conclusion: a result counts if its end is certain.

--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -15,6 +15,9 @@
 KIND_HEADER = "Cactusgauge-Kind"
 IDEMPOTENT_HEADER = "Cactusgauge-Idempotent"
 NOT_RUN_HEADER = "Cactusgauge-Not-Run"
+CONTENT_LENGTH = "Content-Length"
+TRANSFER_ENCODING = "Transfer-Encoding"
+CHUNKED = "chunked"
 PRECONDITION_FAILED = 412
 OK = 200
 MAX_RESULT_BYTES = 64 * 1024  # 340 results fit into one frame
@@ -26,7 +29,8 @@
     """Sends each start to the backend server once and tells how it ended.
 
     `not_run` is reported only for a refused connection, an expired lease, or the server's own word. Every other loss
-    of an answer is `unknown`. Starts are POST requests, which aiohttp never repeats, and redirects are not followed.
+    of an answer is `unknown`, and so is a result whose length the server does not state, as it may be cut off. Starts
+    are POST requests, which aiohttp never repeats, and redirects are not followed.
     """
 
     def __init__(self, session: aiohttp.ClientSession, lease: "backend_server_lease.BackendServerLease") -> None:
@@ -76,4 +80,6 @@
             return jobs.TaskState.FAILED, jobs.Reason.RESULT_TOO_LARGE, b""
         if response.status != OK:
             return jobs.TaskState.FAILED, jobs.Reason.BACKEND_ERROR, body
+        if CONTENT_LENGTH not in response.headers and CHUNKED not in response.headers.get(TRANSFER_ENCODING, ""):
+            return jobs.TaskState.UNKNOWN, jobs.Reason.CONNECTION_LOST, b""
         return jobs.TaskState.COMPLETED, jobs.Reason.NONE, body
