Send no start after the lease expired during connecting

Cause: the lease was checked before a connection was taken from the pool or opened. Ruled out: reuse of a pooled connection; it takes no time. Before: a task is started 0.2 s after the end of its lease. After: not_run (no_backend_server), as nothing is sent before there is a connection. Conclusion: the time for connecting ends with the lease.

--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -22,6 +22,7 @@
 OK = 200
 MAX_RESULT_BYTES = 64 * 1024  # 340 results fit into one frame
 KEEP_ALIVE_S = 2.0  # below the usual server's, so that a pooled connection is rarely closed under a start
+MIN_CONNECT_S = 0.001  # zero would mean no limit
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -56,7 +57,9 @@
             KIND_HEADER: start.kind,
             IDEMPOTENT_HEADER: "1" if start.idempotent else "0",
         }
-        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND)
+        # Nothing is sent before there is a connection, so a start never leaves after the lease has expired.
+        connect_s = max(MIN_CONNECT_S, lease.expires_at - asyncio.get_running_loop().time())
+        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND, connect=connect_s)
         try:
             async with self._session.post(
                 lease.url, data=start.payload.encode(), headers=headers, timeout=timeout, allow_redirects=False
@@ -64,6 +67,8 @@
                 return await self._read(response)
         except aiohttp.ClientConnectorError:
             return jobs.TaskState.NOT_RUN, jobs.Reason.CONNECTION_REFUSED, b""
+        except aiohttp.ConnectionTimeoutError:
+            return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
         except TimeoutError:
             return jobs.TaskState.UNKNOWN, jobs.Reason.DEADLINE, b""
         except (aiohttp.ClientError, OSError):
--- a/tests/unit/agent/test_task_runner.py
+++ b/tests/unit/agent/test_task_runner.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 from collections import abc
+from typing import Any
 
 import aiohttp
 import pytest
@@ -62,6 +63,14 @@
         return await super()._send(start) if ended[0] is jobs.TaskState.UNKNOWN else ended
 
 
+class _SlowConnector(aiohttp.TCPConnector):
+    """Needs longer for a connection than the lease lasts."""
+
+    async def _create_connection(self, *arguments: Any, **options: Any) -> Any:
+        await asyncio.sleep(2 * backend_server_lease.MIN_TTL_S)
+        return await super()._create_connection(*arguments, **options)
+
+
 async def _run(
     url: str,
     tasks: int = 1,
@@ -130,6 +139,15 @@
     assert (outcome.state, outcome.reason) == ("unknown", "deadline")
 
 
+async def test_start_is_not_sent_under_a_lease_that_expired_during_connecting() -> None:
+    """Guards against new work for a server that fell silent while the connection was being opened."""
+    server = _Server(_answer(), keep_open=True)
+    async with server.serving():
+        outcome = (await _run(server.url, connector=_SlowConnector(), ttl_s=backend_server_lease.MIN_TTL_S))[0]
+    assert outcome.state == "not_run"
+    assert not server.seen
+
+
 @pytest.mark.parametrize("keep_open", [True, False])
 async def test_pooled_connection_repeats_no_start(keep_open: bool) -> None:
     """Guards against a start that is sent again because the server closed an idle connection."""
