Wait for a link to deliver results before an agent ends

Cause: drain waited for the acknowledgement of results only at entries that were linked at that moment. Ruled out: linked entries; their acknowledgements were waited for. Before: the drain is over while the entry is without link. After: the results are delivered over the next link, and an entry that is gone is waited for no longer than it waits for the agent (10 s). Conclusion: an entry is owed its results until it gives up the tasks.

--- a/src/cactusgauge/agent/entry_ledger.py
+++ b/src/cactusgauge/agent/entry_ledger.py
@@ -7,6 +7,7 @@
 
 MAX_SEALED_SESSIONS = 10_000
 UNSENT_RETENTION_S = 120.0
+AWAY_S = 10.0  # an entry that was without a link for that long has given up the tasks of the agent
 
 
 class EntryLedger:
@@ -57,9 +58,11 @@
         return self._shown_serving
 
     @property
-    def has_unacknowledged(self) -> bool:
-        """Whether the entry may not have received every result."""
-        return bool(self._pending or self._unacknowledged)
+    def is_owed_results(self) -> bool:
+        """Whether the entry may not have received every result and can still use them."""
+        if not self._pending and not self._unacknowledged:
+            return False
+        return self._unlinked_since is None or asyncio.get_running_loop().time() - self._unlinked_since < AWAY_S
 
     def attach(self, link: wire.Link, last_result_number: int, credit: int, serving: bool) -> None:
         """Use a new link: report the last number handled and send again what the entry has not received."""
--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -8,6 +8,8 @@
 from cactusgauge import ids, jobs, wire
 from cactusgauge.agent import entry_ledger
 
+DRAIN_CHECK_S = 0.05
+
 if TYPE_CHECKING:
     from cactusgauge import observability
     from cactusgauge.agent import backend_server_lease, slot_gate, start_log, task_runner
@@ -123,8 +125,8 @@
         while self._tasks:
             await asyncio.wait(self._tasks)
         self._flush()
-        while any(ledger.link is not None and ledger.has_unacknowledged for ledger in self._ledgers.values()):
-            await asyncio.sleep(0.05)
+        while any(ledger.is_owed_results for ledger in self._ledgers.values()):
+            await asyncio.sleep(DRAIN_CHECK_S)
 
     def _refusal(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> jobs.Reason:
         if ledger.is_sealed(start.session):
