Bound what requests for made-up sessions leave at an agent

Cause: recovery seals the session that a caller names, at every agent, and an agent kept a ledger for the owner named in it for as long as it ran. Requests with made-up sessions made the memory of all agents grow without bound. Ruled out: sealed sessions of one owner; they are bounded. Before: one ledger for each of 10,010 sessions. After: none; the last 10,000 seals of unknown owners are kept and put in force when the owner links. Conclusion: an owner that is not known has started nothing there, so no more than its seal has to be kept.

--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -9,6 +9,7 @@
 from cactusgauge.agent import entry_ledger
 
 DRAIN_CHECK_S = 0.05
+MAX_EARLY_SEALS = 10_000  # callers can name any session, so what is kept of unknown owners must be bounded
 
 if TYPE_CHECKING:
     from cactusgauge import observability
@@ -36,6 +37,7 @@
         self._counters = counters
         self._events = events
         self._ledgers: dict[ids.EntryIncarnation, entry_ledger.EntryLedger] = {}
+        self._early_seals: dict[ids.SessionId, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_scheduled = False
         self._draining = False
@@ -62,6 +64,9 @@
         if found is None:
             found = entry_ledger.EntryLedger(incarnation)
             self._ledgers[incarnation] = found
+            for session in [each for each in self._early_seals if ids.owner_of(each) == incarnation]:
+                del self._early_seals[session]
+                found.seal(session)
         return found
 
     def attach(self, ledger: entry_ledger.EntryLedger, link: wire.Link, last_result_number: int) -> None:
@@ -96,8 +101,7 @@
 
     def seal(self, seal: wire.Seal) -> wire.Sealed:
         """Start nothing more of a session and tell what is known of a job."""
-        owner = ids.owner_of(seal.session)
-        self.ledger(owner).seal(seal.session)
+        self._seal(seal.session)
         self._events.record_state("session_sealed", session=seal.session)
         record = self._starts.find(ids.JobId(seal.session, seal.number))
         if record is None:
@@ -106,6 +110,16 @@
             seal.request, record.task_count, record.digest, sorted(record.running), list(record.outcomes.values())
         )
 
+    def _seal(self, session: ids.SessionId) -> None:
+        ledger = self._ledgers.get(ids.owner_of(session))
+        if ledger is not None:
+            ledger.seal(session)
+            return
+        # An owner that is not known here has started nothing here; its seal waits for its first link.
+        self._early_seals[session] = None
+        if len(self._early_seals) > MAX_EARLY_SEALS:
+            del self._early_seals[next(iter(self._early_seals))]
+
     def refresh(self) -> None:
         """Tell the entries of a change of state since the last call, and drop what is over time."""
         if self.serving != self._shown_serving:
--- a/tests/unit/agent/test_start_controller.py
+++ b/tests/unit/agent/test_start_controller.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from cactusgauge import jobs
-from cactusgauge.agent import entry_ledger
+from cactusgauge import ids, jobs, wire
+from cactusgauge.agent import entry_ledger, start_controller
 from tests.unit.dispatch import conftest
 
 COMPLETED = jobs.TaskState.COMPLETED
@@ -63,3 +63,30 @@
     world.deliver_all()
     assert not world.runs
     assert world.entries[0].jobs[0].queued_count == 1
+
+
+def test_seal_is_kept_for_an_owner_that_links_later(world: conftest.World) -> None:
+    """Guards against starts of a recovered session by an owner that the agent did not know at that time."""
+    controller, entry = world.agents[0].controller, conftest.Entry("entry-9", "e9")
+    session = ids.SessionId("e9-1")
+    world.call(lambda: controller.seal(wire.Seal(1, session, 1)))
+    ledger = controller.ledger(entry.incarnation)
+    assert ledger.is_sealed(session)
+    assert not ledger.is_sealed(ids.SessionId("e9-2"))
+
+
+def test_seals_of_unknown_sessions_are_bounded(world: conftest.World) -> None:
+    """Guards against memory that grows with requests for made-up sessions."""
+    controller = world.agents[0].controller
+    count = start_controller.MAX_EARLY_SEALS + 10
+    before = len(controller.ledgers)
+
+    def seal_all() -> None:
+        for number in range(count):
+            controller.seal(wire.Seal(1, ids.SessionId(f"x{number}-1"), 1))
+
+    world.call(seal_all)
+    assert len(controller.ledgers) == before
+    assert not controller.ledger(ids.EntryIncarnation("x0")).is_sealed(ids.SessionId("x0-1"))
+    last = f"x{count - 1}"
+    assert controller.ledger(ids.EntryIncarnation(last)).is_sealed(ids.SessionId(f"{last}-1"))
