--- a/tests/unit/dispatch/test_remote_worker.py
+++ b/tests/unit/dispatch/test_remote_worker.py
@@ -1,6 +1,6 @@
 import random
 import types
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 import hypothesis
 import pytest
@@ -22,15 +22,17 @@
 
 
 class LinkMachine(stateful.RuleBasedStateMachine):
-    """An agent and two entries over links that lose, cut, delay and reconnect at any message.
+    """Two agents and two entries over links that lose, cut, delay and reconnect at any message.
 
     The reference is the list of all starts that reached the backend server. Each step draws weighted actions from a
     seed: with one rule for each action, Hypothesis leaves out so many of them that hardly any start is made.
     """
 
+    starts: ClassVar[list[int]] = []
+
     def __init__(self) -> None:
         super().__init__()
-        self.world = conftest.World()
+        self.world = conftest.World(agents=2)
         self.world.relink()
         self.ended: dict[tuple[ids.JobId, int], jobs.TaskState] = {}
         self.weights: dict[abc.Callable[[random.Random], None], float] = {
@@ -67,8 +69,8 @@
             self.world.call(lambda: entry.service.dispatcher(unit_conftest.WORKSPACE).cancel(entry.jobs[-1]))
 
     def _dial(self, chance: random.Random) -> None:
-        if len(self.world.connections) < 5:
-            self.world.dial(self.world.agents[0], chance.choice(self.world.entries))
+        if len(self.world.connections) < 8:
+            self.world.dial(chance.choice(self.world.agents), chance.choice(self.world.entries))
 
     def _deliver(self, chance: random.Random) -> None:
         end = self._end(chance)
@@ -103,10 +105,10 @@
         self.world.advance(chance.choice([11.0, 130.0]))
 
     def _announce(self, chance: random.Random) -> None:
-        self.world.call(self.world.agents[0].announce)
+        self.world.call(chance.choice(self.world.agents).announce)
 
     def _restart_agent(self, chance: random.Random) -> None:
-        self.world.restart_agent(0)
+        self.world.restart_agent(chance.randrange(len(self.world.agents)))
 
     def _restart_entry(self, chance: random.Random) -> None:
         self.world.restart_entry(chance.randrange(len(self.world.entries)))
@@ -116,7 +118,7 @@
         assert not self.world.errors
         live = [run.task_id for run in self.world.runs if run.state is not jobs.TaskState.NOT_RUN]
         assert len(live) == len(set(live)), "a task was started twice"
-        assert self.world.agents[0].gate.running <= conftest.SLOTS
+        assert all(agent.gate.running <= conftest.SLOTS for agent in self.world.agents)
         self._check_reports(set(live))
 
     def _check_reports(self, live: set[ids.TaskId]) -> None:
@@ -139,6 +141,7 @@
 
     def teardown(self) -> None:
         """Show that nothing is stuck: over reliable links all jobs end, and new jobs complete."""
+        self.starts.append(len(self.world.runs))
         try:
             self._finish()
         finally:
@@ -188,7 +191,9 @@
 
 def test_starts_are_handled_once_and_numbering_never_sticks() -> None:
     """Guards against repeated starts, lost or repeated results, and agents that get no more work."""
+    LinkMachine.starts.clear()
     _run()
+    assert sum(LinkMachine.starts) >= 4 * STEPS.max_examples, "the examples start too little to show anything"
 
 
 @pytest.mark.parametrize(
