--- a/src/cactusgauge/agent/backend_server_lease.py
+++ b/src/cactusgauge/agent/backend_server_lease.py
@@ -1,12 +1,14 @@
 """The lease under which an agent may start tasks at its backend server."""
 
 import asyncio
+import collections
 from typing import NamedTuple
 
 from cactusgauge import ids
 
 DEFAULT_TTL_S = 3.0  # the bound on new work for a backend server that is leaving
 MIN_TTL_S = 0.2
+MAX_ENDED = 64  # ids of ended leases, for renewals that were under way at the end
 
 
 class Lease(NamedTuple):
@@ -29,6 +31,7 @@
 
     def __init__(self) -> None:
         self._lease: Lease | None = None
+        self._ended: collections.deque[ids.LeaseId] = collections.deque(maxlen=MAX_ENDED)
 
     @property
     def valid(self) -> Lease | None:
@@ -44,14 +47,20 @@
         lease_id: ids.LeaseId | None,
         granted_at: float | None,
         ttl_s: float = DEFAULT_TTL_S,
-    ) -> Lease:
+    ) -> Lease | None:
         """Renew the lease of `lease_id`, or grant a new one if it is not the current one.
 
-        `granted_at` is the loop time of the last grant that the server received.
+        `granted_at` is the loop time of the last grant that the server received. Return None for a lease that was
+        ended by a leave or replaced: a renewal that is late must bring no work to a server that left, and take none
+        from its successor.
         """
+        if lease_id in self._ended:
+            return None
         now = asyncio.get_running_loop().time()
         current = self._lease
         if current is None or current.id != lease_id or current.url != url:
+            if current is not None and now < current.expires_at:
+                self._ended.append(current.id)
             current = Lease(ids.new_lease_id(), name, url, now)
         if current.id == lease_id and granted_at is not None and granted_at <= now:
             expires_at = granted_at + min(max(ttl_s, MIN_TTL_S), DEFAULT_TTL_S)
@@ -63,5 +72,6 @@
         """End a lease; return False if it is not the current one."""
         if self._lease is None or self._lease.id != lease_id:
             return False
+        self._ended.append(lease_id)
         self._lease = None
         return True
--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -15,10 +15,14 @@
 KIND_HEADER = "Cactusgauge-Kind"
 IDEMPOTENT_HEADER = "Cactusgauge-Idempotent"
 NOT_RUN_HEADER = "Cactusgauge-Not-Run"
+CONTENT_LENGTH = "Content-Length"
+TRANSFER_ENCODING = "Transfer-Encoding"
+CHUNKED = "chunked"
 PRECONDITION_FAILED = 412
 OK = 200
 MAX_RESULT_BYTES = 64 * 1024  # 340 results fit into one frame
 KEEP_ALIVE_S = 2.0  # below the usual server's, so that a pooled connection is rarely closed under a start
+MIN_CONNECT_S = 0.001  # zero would mean no limit
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -26,7 +30,8 @@
     """Sends each start to the backend server once and tells how it ended.
 
     `not_run` is reported only for a refused connection, an expired lease, or the server's own word. Every other loss
-    of an answer is `unknown`. Starts are POST requests, which aiohttp never repeats, and redirects are not followed.
+    of an answer is `unknown`, and so is a result whose length the server does not state, as it may be cut off. Starts
+    are POST requests, which aiohttp never repeats, and redirects are not followed.
     """
 
     def __init__(self, session: aiohttp.ClientSession, lease: "backend_server_lease.BackendServerLease") -> None:
@@ -52,7 +57,9 @@
             KIND_HEADER: start.kind,
             IDEMPOTENT_HEADER: "1" if start.idempotent else "0",
         }
-        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND)
+        # Nothing is sent before there is a connection, so a start never leaves after the lease has expired.
+        connect_s = max(MIN_CONNECT_S, lease.expires_at - asyncio.get_running_loop().time())
+        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND, connect=connect_s)
         try:
             async with self._session.post(
                 lease.url, data=start.payload.encode(), headers=headers, timeout=timeout, allow_redirects=False
@@ -60,6 +67,8 @@
                 return await self._read(response)
         except aiohttp.ClientConnectorError:
             return jobs.TaskState.NOT_RUN, jobs.Reason.CONNECTION_REFUSED, b""
+        except aiohttp.ConnectionTimeoutError:
+            return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
         except TimeoutError:
             return jobs.TaskState.UNKNOWN, jobs.Reason.DEADLINE, b""
         except (aiohttp.ClientError, OSError):
@@ -76,4 +85,6 @@
             return jobs.TaskState.FAILED, jobs.Reason.RESULT_TOO_LARGE, b""
         if response.status != OK:
             return jobs.TaskState.FAILED, jobs.Reason.BACKEND_ERROR, body
+        if CONTENT_LENGTH not in response.headers and CHUNKED not in response.headers.get(TRANSFER_ENCODING, ""):
+            return jobs.TaskState.UNKNOWN, jobs.Reason.CONNECTION_LOST, b""
         return jobs.TaskState.COMPLETED, jobs.Reason.NONE, body
--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -55,15 +55,16 @@
         reply = await self._ask_owner(request)
         if reply is not None:
             return reply
-        if request.hop in (caller_request.Hop.RELAY, caller_request.Hop.OWNER):
+        is_owner_alive = self._members.find_alive(ids.owner_of(session)) is not None
+        if request.hop is caller_request.Hop.OWNER or (request.hop is caller_request.Hop.RELAY and not is_owner_alive):
             document = {"code": "owner_unreachable", "message": "", "ran": exceptions.Ran.UNKNOWN.value}
             return caller_request.json_reply(OWNER_UNREACHABLE_STATUS, document)
         if request.hop is caller_request.Hop.CALLER:
             reply = await self._ask_through_peers(request)
             if reply is not None:
                 return reply
-        if self._members.find_alive(ids.owner_of(session)) is not None:
-            # A slow owner must not lose its session to a recovery.
+        if is_owner_alive or self._members.find_alive(ids.owner_of(session)) is not None:
+            # A slow owner must not lose its session to a recovery, here or at the entry that asked for a relay.
             raise exceptions.OwnerSlowError("the owner of the session did not answer in time; ask again")
         try:
             return await self._recover(request)
--- a/tests/unit/configuration/test_agent_configuration.py
+++ b/tests/unit/configuration/test_agent_configuration.py
@@ -1,12 +1,11 @@
 """The part of the configuration that reaches agents."""
 
-import asyncio
-
 import aiohttp
 import pytest
 
 from cactusgauge import configuration, ids, observability, wire
 from cactusgauge.agent import backend_server_lease, slot_gate, start_controller, start_log, task_runner
+from tests.unit import conftest
 from tests.unit.configuration import builders
 
 pytestmark = pytest.mark.looptime
@@ -31,8 +30,7 @@
         controller = start_controller.StartController(
             builders.CHEESE, lease, gate, start_log.StartLog(), runner, counters, events
         )
-        granted = lease.announce("server", "http://127.0.0.1:1", None, None)
-        lease.announce("server", "http://127.0.0.1:1", granted.id, asyncio.get_running_loop().time())
+        conftest.grant_lease(lease, "http://127.0.0.1:1")
         entry = ids.EntryIncarnation("e")
         assert not controller.serving
         assert not gate.acquire(entry)
--- a/tests/unit/conftest.py
+++ b/tests/unit/conftest.py
@@ -1,8 +1,11 @@
 """Settings and builders shared by the unit tests."""
 
+import asyncio
+
 import hypothesis
 
 from cactusgauge import configuration, ids, jobs, wire
+from cactusgauge.agent import backend_server_lease
 
 # Derandomised, so that every run draws the same examples; no deadline, as verdicts must not depend on timing.
 # No shrinking, as naive versions fail on purpose and a minimal example of them is of no use.
@@ -22,6 +25,13 @@
 SESSION = ids.SessionId("owner-1")
 
 
+def grant_lease(lease: backend_server_lease.BackendServerLease, url: str, ttl_s: float = 3.0) -> None:
+    """Make a lease valid: it counts from the grant that the server repeats in its next announcement."""
+    granted = lease.announce("server", url, None, None)
+    assert granted is not None
+    lease.announce("server", url, granted.id, asyncio.get_running_loop().time(), ttl_s)
+
+
 class FakeLink(wire.Link):
     """A link without a connection: keeps what is posted, and is aborted at most once."""
 
--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -23,6 +23,7 @@
 
 SETTLE_TURNS = 12
 SLOTS = 2
+SERVER_URL = "http://127.0.0.1:1"
 MAX_DELIVERIES = 500
 DEADLINE_MS = 1_000_000_000
 EXPECTED_ERRORS = (exceptions.CactusgaugeError, TimeoutError, asyncio.CancelledError)
@@ -145,8 +146,10 @@
 
     def announce(self) -> None:
         """Renew the lease of the backend server."""
-        known = self.lease.valid or self.lease.announce("server", "http://127.0.0.1:1", None, None)
-        self.lease.announce("server", "http://127.0.0.1:1", known.id, asyncio.get_running_loop().time())
+        if self.lease.valid is None:
+            conftest.grant_lease(self.lease, SERVER_URL)
+        else:
+            self.lease.announce("server", SERVER_URL, self.lease.valid.id, asyncio.get_running_loop().time())
         self.controller.refresh()
 
     async def run(self, start: wire.Start) -> wire.Outcome:
