Announce a backend server anew when its lease was ended

Cause: the agent answers 409 to a renewal of a lease that a leave ended, and the stand-in went on renewing it, so it never got work again. Before: two tests of refusals time out waiting for the worker. After: 6 pass.

--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -169,7 +169,9 @@
                 if shown is Announcing.RENEW:
                     with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                         async with session.put(announce_url, json=body) as response:
-                            grant = await response.json()
+                            grant: dict[str, Any] = (
+                                await response.json() if response.ok else {"lease": "", "granted_s": None}
+                            )
                         is_new = grant["lease"] != server.lease
                         server.lease, granted_s = grant["lease"], grant["granted_s"]
                 if not is_new:  # a new lease is valid from its first renewal on
