--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from cactusgauge import ids, jobs, wire
+from cactusgauge import configuration, ids, jobs, wire
 from cactusgauge.agent import entry_ledger
 
 if TYPE_CHECKING:
@@ -38,11 +38,18 @@
         self._flush_scheduled = False
         self._draining = False
         self._shown_serving = False
+        self._configuration = configuration.AgentConfiguration(gate.slots)
+        gate.slots = self._configuration.slots
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, -1 before the first."""
+        return self._configuration.version
 
     @property
     def serving(self) -> bool:
         """Whether new work is taken now."""
-        return not self._draining and self._lease.valid is not None
+        return not self._draining and self._lease.valid is not None and self._gate.slots > 0
 
     @property
     def ledgers(self) -> list[entry_ledger.EntryLedger]:
@@ -79,12 +86,16 @@
             self._counters.add("messages_wasted", self._workspace, "repeated_assign")
             return
         self._gate.set_demand(ledger.incarnation, assign.demand)
+        refused = 0
         for start in assign.starts:
             reason = self._refusal(ledger, start)
             if reason is jobs.Reason.NONE:
-                self._begin(ledger, start)
+                self._begin(ledger, start, assign.number)
             else:
-                self._refuse(ledger, start, reason)
+                refused += 1
+                self._refuse(ledger, start, assign.number, reason)
+        if refused and refused == len(assign.starts):
+            self._counters.add("messages_wasted", self._workspace, "all_refused")
         self._schedule_flush()
 
     def set_demand(self, ledger: entry_ledger.EntryLedger, demand: int) -> None:
@@ -92,6 +103,14 @@
         self._gate.set_demand(ledger.incarnation, demand)
         self._schedule_flush()
 
+    def configure(self, config: wire.AgentConfig) -> None:
+        """Put a version of the configuration in force and tell the entries; an older version is ignored."""
+        if not self._configuration.take(config.version, config.slots):
+            return
+        self._gate.slots = self._configuration.slots
+        self._events.record_state("config_in_force", version=config.version, slots=self._gate.slots)
+        self._show_state()
+
     def seal(self, seal: wire.Seal) -> wire.Sealed:
         """Start nothing more of a session and tell what is known of a job."""
         owner = ids.owner_of(seal.session)
@@ -109,8 +128,7 @@
         if self.serving != self._shown_serving:
             self._shown_serving = self.serving
             self._events.record_state("serving_changed", serving=self.serving)
-            for ledger in self._ledgers.values():
-                ledger.show_state(self._credit(ledger), self.serving)
+            self._show_state()
         self._starts.expire()
         for ledger in self._ledgers.values():
             ledger.expire()
@@ -125,6 +143,10 @@
         while any(ledger.link is not None and ledger.has_unacknowledged for ledger in self._ledgers.values()):
             await asyncio.sleep(0.05)
 
+    def _show_state(self) -> None:
+        for ledger in self._ledgers.values():
+            ledger.show_state(self._credit(ledger), self.serving)
+
     def _refusal(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> jobs.Reason:
         if ledger.is_sealed(start.session):
             return jobs.Reason.SEALED
@@ -136,21 +158,24 @@
             return jobs.Reason.NO_SLOT
         return jobs.Reason.NONE
 
-    def _refuse(self, ledger: entry_ledger.EntryLedger, start: wire.Start, reason: jobs.Reason) -> None:
+    def _refuse(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int, reason: jobs.Reason) -> None:
         self._counters.add("starts_refused", self._workspace, reason.value)
+        job = str(ids.JobId(start.session, start.number))
+        self._events.record("start_refused", job=job, task=start.task, assign=assign, reason=reason.value)
         ledger.add_outcome(
             wire.Outcome(start.session, start.number, start.task, jobs.TaskState.NOT_RUN.value, reason.value, b"", 0)
         )
 
-    def _begin(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+    def _begin(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int) -> None:
         self._starts.add_start(start)
-        task = asyncio.create_task(self._run(ledger, start))
+        task = asyncio.create_task(self._run(ledger, start, assign))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _run(self, ledger: entry_ledger.EntryLedger, start: wire.Start) -> None:
+    async def _run(self, ledger: entry_ledger.EntryLedger, start: wire.Start, assign: int) -> None:
         task_id = ids.TaskId(start.session, start.number, start.task)
-        self._events.record("task_started", job=str(task_id.job), task=start.task)
+        job = str(task_id.job)
+        self._events.record("task_started", job=job, task=start.task, assign=assign)
         try:
             outcome = await self._runner.run(start)
         except Exception:  # a fault of ours must neither lose the slot nor leave the task without an outcome
@@ -166,7 +191,9 @@
             self._counters.add("tasks_started", self._workspace, "")
             self._counters.add("slot_seconds", self._workspace, "", outcome.run_ms / 1000)
         self._counters.add(f"tasks_{outcome.state}", self._workspace, outcome.reason)
-        self._events.record("task_ended", job=str(task_id.job), task=start.task, state=outcome.state)
+        self._events.record(
+            "task_ended", job=job, task=start.task, assign=assign, state=outcome.state, reason=outcome.reason
+        )
         ledger.add_outcome(outcome)
         self._schedule_flush()
 
@@ -181,6 +208,8 @@
             credit = self._credit(ledger)
             ledger.flush(credit)
             # A lower credit reaches the entry with its next result, before it can start anything more.
+            if ledger.link is not None:
+                ledger.link.set_active(self._gate.is_used_by(ledger.incarnation))
             if self._gate.demand(ledger.incarnation) and credit > ledger.shown_credit:
                 ledger.show_state(credit, self.serving)
 
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from cactusgauge import configuration, exceptions, ids, jobs, wire
+from cactusgauge import accounting, configuration, exceptions, ids, jobs, wire
 from cactusgauge.dispatch import ordering, placement, remote_worker, speed_book
 
 if TYPE_CHECKING:
@@ -59,6 +59,8 @@
         self._heap_numbers = itertools.count()
         self._queued_count = 0
         self._speeds = speed_book.SpeedBook()
+        # Kept for agents that were replaced too, as accounts are cumulative.
+        self._accounts: dict[tuple[ids.AgentName, ids.AgentIncarnation], accounting.PairAccount] = {}
         self._dispatch_scheduled = False
         self.apply(config)
 
@@ -92,6 +94,12 @@
         """The jobs that are not finished."""
         return list(self._jobs.values())
 
+    def pair_totals(self) -> list[accounting.PairTotals]:
+        """Return the account with every agent incarnation."""
+        return [
+            account.totals(incarnation, name, self.workspace) for (name, incarnation), account in self._accounts.items()
+        ]
+
     def apply(self, config: "configuration.WorkspaceConfig") -> None:
         """Put a version of the workspace's configuration in force."""
         self._config = config
@@ -113,11 +121,12 @@
         self._push(job)
         self._counters.add("jobs_accepted", self.workspace, "")
         self._counters.add("tasks_accepted", self.workspace, "", job.task_count)
-        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count)
+        self._events.record("job_accepted", job=str(job.id), tasks=job.task_count, workspace=self.workspace)
         self.schedule()
 
     def cancel(self, job: jobs.Job) -> None:
         """Refuse the queued tasks of a job; running ones finish."""
+        self._events.record("job_cancelled", job=str(job.id), queued=job.queued_count)
         self._refuse_queued(job, jobs.Reason.CANCELLED)
 
     def schedule(self) -> None:
@@ -133,7 +142,8 @@
             return known
         if known is not None:
             self._abandon(known, jobs.Reason.AGENT_RESTARTED)
-        created = remote_worker.RemoteWorker(hello, hello.data_centre)
+        account = self._accounts.setdefault((hello.name, hello.incarnation), accounting.PairAccount())
+        created = remote_worker.RemoteWorker(hello, hello.data_centre, account)
         self._workers[hello.name] = created
         return created
 
@@ -153,8 +163,9 @@
             self._counters.add("messages_wasted", self.workspace, "repeated_results")
             return
         worker.update_state(results.credit, worker.serving)
-        for outcome in results.outcomes:
-            self._take_outcome(worker, outcome)
+        useless = [self._take_outcome(worker, outcome) for outcome in results.outcomes]
+        if useless and all(useless):
+            self._counters.add("messages_wasted", self.workspace, useless[0])
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
@@ -237,32 +248,45 @@
         for worker in available:
             batch = batches.get(worker.name, [])
             if batch:
-                worker.assign(batch, self._queued_count, now)
+                number = worker.assign(batch, self._queued_count, now).number
                 self._counters.add("tasks_sent", self.workspace, "", len(batch))
                 for job, task, _ in batch:
-                    self._events.record("task_sent", job=str(job.id), task=task.index, worker=worker.name)
+                    self._events.record(
+                        "task_sent", job=str(job.id), task=task.index, worker=worker.name, assign=number
+                    )
             elif self._queued_count and not worker.shown_demand and not worker.free_slots:
                 worker.assign([], self._queued_count, now)
 
-    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> None:
+    def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> str:
+        """Take in one outcome; return why it is of no use, or an empty string."""
         task_id = ids.TaskId(outcome.session, outcome.number, outcome.task)
-        if worker.end(task_id) is None or task_id.job not in self._jobs:
-            self._counters.add("messages_wasted", self.workspace, "late_result")
-            return
+        sent = worker.end(task_id)
+        if sent is None or task_id.job not in self._jobs:
+            self._counters.add("outcomes_late", self.workspace, "")
+            return "late_result"
         now = asyncio.get_running_loop().time()
         state = jobs.TaskState(outcome.state)
         if state is jobs.TaskState.NOT_RUN and outcome.reason != jobs.Reason.SEALED.value:
-            self._counters.add("messages_wasted", self.workspace, outcome.reason)
             if outcome.reason in PAUSING_REASONS:
                 worker.pause(now)
+            self._events.record(
+                "task_returned",
+                job=str(task_id.job),
+                task=outcome.task,
+                worker=worker.name,
+                assign=sent.number,
+                reason=outcome.reason,
+            )
             self._return_to_queue(task_id)
-            return
+            return outcome.reason
         job = self._jobs[task_id.job]
         if state is jobs.TaskState.COMPLETED:
             self._speeds.learn(worker.name, job.task_at(outcome.task).request, outcome.run_ms / 1000)
-        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms)
+        origin: dict[str, str | int] = {"worker": worker.name, "assign": sent.number}
+        self._finish_task(job, outcome.task, state, outcome.reason, outcome.result, outcome.run_ms, origin)
         if outcome.reason == jobs.Reason.SEALED.value:
             self._refuse_sealed(task_id.session)
+        return ""
 
     def _return_to_queue(self, task_id: ids.TaskId) -> None:
         job = self._jobs.get(task_id.job)
@@ -294,7 +318,8 @@
         for task_id in worker.abandon():
             job = self._jobs.get(task_id.job)
             if job is not None:
-                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value)
+                origin = {"worker": worker.name}
+                self._finish_task(job, task_id.task, jobs.TaskState.UNKNOWN, reason.value, origin=origin)
 
     def _finish_task(
         self,
@@ -304,11 +329,14 @@
         reason: str = "",
         result: bytes = b"",
         run_ms: float = 0,
+        origin: "abc.Mapping[str, str | int] | None" = None,
     ) -> None:
         now = asyncio.get_running_loop().time()
         if job.finish_task(index, state, now, reason, result, run_ms):
             self._counters.add(f"tasks_{state.value}", self.workspace, reason)
-            self._events.record("task_ended", job=str(job.id), task=index, state=state.value, reason=reason)
+            self._events.record(
+                "task_ended", job=str(job.id), task=index, state=state.value, reason=reason, **(origin or {})
+            )
         self._settle(job)
 
     def _settle(self, job: jobs.Job) -> None:
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -3,7 +3,7 @@
 import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from cactusgauge import exceptions, ids, wire
+from cactusgauge import accounting, exceptions, ids, wire
 
 if TYPE_CHECKING:
     from collections import abc
@@ -28,10 +28,17 @@
     The object outlives its link: after a reconnect, `resume` tells which tasks provably never arrived.
     """
 
-    def __init__(self, hello: wire.AgentHello, data_centre: ids.DataCentreName) -> None:
+    def __init__(
+        self,
+        hello: wire.AgentHello,
+        data_centre: ids.DataCentreName,
+        account: accounting.PairAccount | None = None,
+    ) -> None:
+        self._account = account or accounting.PairAccount()
         self._name = hello.name
         self._incarnation = hello.incarnation
         self._slots = hello.slots
+        self._http_url = hello.http_url
         self._data_centre = data_centre
         self._link: wire.Link | None = None
         self._credit = 0
@@ -60,6 +67,11 @@
         """Data centre of the worker."""
         return self._data_centre
 
+    @property
+    def http_url(self) -> str:
+        """URL of the agent's HTTP interface."""
+        return self._http_url
+
     @property
     def link(self) -> "wire.Link | None":
         """The current link, or None while there is none."""
@@ -102,12 +114,7 @@
 
     def is_available(self, now: float) -> bool:
         """Whether new work may be sent: linked, heard of lately, serving and not paused."""
-        return (
-            self._link is not None
-            and self._serving
-            and now >= self._paused_until
-            and now - self._link.last_received <= wire.SILENCE_S
-        )
+        return self._link is not None and self._serving and now >= self._paused_until and not self._link.is_silent
 
     def expected_wait_s(self, now: float) -> float:
         """Return the expected time in seconds until a slot is free."""
@@ -130,6 +137,7 @@
         returned = [task_id for task_id in never_received if task_id in self._in_flight]
         for task_id in returned:
             del self._in_flight[task_id]
+        self._update_activity()
         return returned
 
     def detach(self, link: "wire.Link", now: float) -> None:
@@ -164,13 +172,21 @@
         self._unacknowledged.append((self._last_assign_number, task_ids))
         message = wire.Assign(self._last_assign_number, self._last_result_number, demand, starts)
         self._shown_demand = demand
+        self._update_activity()
         self._link.post(message)
         return message
 
+    def heartbeat(self, demand: int) -> wire.Heartbeat:
+        """Return a heartbeat that acknowledges results and shows the entry's demand."""
+        self._shown_demand = demand
+        self._update_activity()
+        return wire.Heartbeat(self._last_result_number, demand)
+
     def acknowledge(self, assign_ack: int) -> None:
         """Note that the agent received all assigns up to a number."""
         while self._unacknowledged and self._unacknowledged[0][0] <= assign_ack:
-            self._unacknowledged.popleft()
+            number, task_ids = self._unacknowledged.popleft()
+            self._account.count_assign(number, len(task_ids))
 
     def accept_results(self, results: wire.Results) -> bool:
         """Note a results message; return False for a repeated one."""
@@ -179,19 +195,27 @@
         if results.number != self._last_result_number + 1:
             raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
         self._last_result_number = results.number
+        self._account.count_results(results.number, results.outcomes)
         self.acknowledge(results.assign_ack)
         return True
 
     def end(self, task_id: ids.TaskId) -> InFlight | None:
         """Remove a task from the in-flight table; return None if it was not there."""
-        return self._in_flight.pop(task_id, None)
+        ended = self._in_flight.pop(task_id, None)
+        self._update_activity()
+        return ended
 
     def abandon(self) -> list[ids.TaskId]:
         """Give up all tasks in flight; nothing is known of them."""
         abandoned = list(self._in_flight)
         self._in_flight.clear()
+        self._update_activity()
         return abandoned
 
+    def _update_activity(self) -> None:
+        if self._link is not None:
+            self._link.set_active(bool(self._in_flight or self._shown_demand))
+
     @staticmethod
     def _start(job: "jobs.Job", task: "jobs.Task", now: float) -> wire.Start:
         remaining_ms = max(1, int((job.deadline - now) * MILLISECONDS_PER_SECOND))
--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -43,6 +43,7 @@
         dispatcher.attach(worker, link, resume)
         if self._members.alive != welcomed:  # a change during the handshake was not broadcast to this agent
             link.post(wire.Entries(self._members.alive))
+        self._post_configuration(dispatcher.workspace, worker)
         self._events.record_state("agent_linked", agent=hello.name, incarnation=hello.incarnation)
         try:
             while True:
@@ -57,7 +58,9 @@
         """Return the heartbeat for an agent's link."""
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = self._workers.get(hello.incarnation)
-        return wire.Heartbeat(worker.last_result_number if worker else 0, dispatcher.queued_count)
+        if worker is None:
+            return wire.Heartbeat(0, dispatcher.queued_count)
+        return worker.heartbeat(dispatcher.queued_count)
 
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
@@ -66,6 +69,12 @@
             if worker.link is not None:
                 worker.link.post(message)
 
+    def broadcast_configuration(self) -> None:
+        """Tell all linked agents their part of the configuration in force."""
+        for dispatcher in self._service.dispatchers:
+            for worker in dispatcher.workers:
+                self._post_configuration(dispatcher.workspace, worker)
+
     async def seal(self, workspace: ids.WorkspaceName, job_id: ids.JobId) -> list[wire.Sealed]:
         """Seal a session at all linked agents of a workspace; return the replies that came in time."""
         replies = []
@@ -83,6 +92,11 @@
             del self._seal_replies[request]
         return [future.result() for future in futures if future.done()]
 
+    def _post_configuration(self, workspace: ids.WorkspaceName, worker: dispatch.RemoteWorker) -> None:
+        message = self._service.agent_config(workspace, worker.data_centre)
+        if message is not None and worker.link is not None:
+            worker.link.post(message)
+
     def _linked_workers(self) -> list[dispatch.RemoteWorker]:
         return [worker for dispatcher in self._service.dispatchers for worker in dispatcher.workers if worker.link]
 
--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -1,6 +1,7 @@
 """What an entry does for the sessions that it owns."""
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 
 from cactusgauge import configuration, dispatch, exceptions, ids, jobs, wire
@@ -54,19 +55,27 @@
         return current.workspace(workspace)
 
     def dispatcher(self, workspace: ids.WorkspaceName) -> dispatch.Dispatcher:
-        """Return the dispatcher of a configured workspace."""
-        config = self.workspace_config(workspace)
+        """Return the dispatcher of a configured workspace; a removed one keeps its own for the accepted jobs."""
         found = self._dispatchers.get(workspace)
         if found is None:
+            config = self.workspace_config(workspace)
             found = dispatch.Dispatcher(config, self._counters, self._events, self._on_finished)
             self._dispatchers[workspace] = found
         return found
 
+    def agent_config(self, workspace: ids.WorkspaceName, data_centre: ids.DataCentreName) -> wire.AgentConfig | None:
+        """Return the part of the configuration for an agent, or None if the workspace was removed."""
+        current = self._config_source.current
+        if current is None or workspace not in current.workspaces:
+            return None
+        return wire.AgentConfig(current.version, current.workspaces[workspace].slots_in(data_centre))
+
     def apply_configuration(self) -> None:
         """Put the current configuration in force in all dispatchers."""
         current = self._config_source.current
         if current is None:
             return
+        self._events.record_state("configuration_applied", version=current.version)
         for name, found in self._dispatchers.items():
             if name in current.workspaces:
                 found.apply(current.workspaces[name])
@@ -76,12 +85,27 @@
         config = self.workspace_config(workspace)
         return jobs.JobRequestParser(config.max_tasks_per_job, config.max_body_bytes).parse(body)
 
+    def parse_resubmitted(self, body: bytes) -> jobs.JobRequest:
+        """Return the request of a body that an earlier configuration may have admitted."""
+        return jobs.JobRequestParser(sys.maxsize, sys.maxsize).parse(body)
+
+    def attach(self, workspace: ids.WorkspaceName, job_id: ids.JobId, body: bytes) -> jobs.Job | None:
+        """Return the job that a body resubmits, if there is one; limits changed since then do not matter."""
+        session = self._sessions.get(job_id.session, workspace)
+        session.touch(asyncio.get_running_loop().time())
+        attached = session.attach(job_id.number, jobs.JobRequestParser.digest(body))
+        if attached is not None:
+            self._counters.add("jobs_resubmitted", workspace, "")
+        return attached
+
     def open_session(self, workspace: ids.WorkspaceName) -> ids.SessionId:
         """Open a session for a configured workspace."""
         self.workspace_config(workspace)
         if self._draining:
             raise exceptions.DrainingError("this entry is being stopped; use another one")
-        return self._sessions.open(workspace, asyncio.get_running_loop().time()).id
+        opened = self._sessions.open(workspace, asyncio.get_running_loop().time())
+        self._events.record("session_opened", session=opened.id, workspace=workspace)
+        return opened.id
 
     def submit(self, workspace: ids.WorkspaceName, job_id: ids.JobId, request: jobs.JobRequest) -> jobs.Job:
         """Accept a job or attach to the one already submitted; a refusal starts nothing."""
@@ -94,10 +118,15 @@
             self._counters.add("jobs_resubmitted", workspace, "")
             return attached
         if self._draining:
+            self._events.record("job_refused", job=str(job_id), workspace=workspace, code=exceptions.DrainingError.code)
             raise exceptions.DrainingError("this entry is being stopped; open a session at another one")
         deadline_ms = min(request.deadline_ms or config.default_deadline_ms, config.max_deadline_ms)
         job = jobs.Job(job_id, request, now, deadline_ms)
-        self.dispatcher(workspace).admit(job)
+        try:
+            self.dispatcher(workspace).admit(job)
+        except exceptions.OverloadedError as error:
+            self._events.record("job_refused", job=str(job_id), workspace=workspace, code=error.code)
+            raise
         session.add(job)
         return job
 
--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -62,7 +62,7 @@
     link_port: Port
     workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
     size: float = pydantic.Field(default=1.0, gt=0)
-    log_url: str | None = None
+    log_url: HttpUrl
     advertised_http_url: HttpUrl | None = None
     advertised_link_url: LinkUrl | None = None
 
--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -21,7 +21,9 @@
     from cactusgauge.wire import messages
 
 HEARTBEAT_S = 1.0
-SILENCE_S = 3.0  # three lost heartbeats; also the bound on work for a backend server that is leaving
+SILENCE_S = 3.0  # three lost heartbeats
+IDLE_HEARTBEAT_S = 5.0  # an entry with 122 idle links spends under 7 KB/s at the target size
+IDLE_SILENCE_S = 15.0
 GRACE_AFTER_PAUSE_S = 0.2  # a process that was itself paused first reads what arrived meanwhile
 CLOSE_REASON_BYTES = 120  # a close frame holds at most 123 bytes of reason
 
@@ -29,9 +31,10 @@
 class Link:
     """Sends and receives typed messages over one WebSocket connection.
 
-    Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. The
-    writer sends a heartbeat after HEARTBEAT_S without a message and aborts the connection after SILENCE_S without
-    a message from the peer.
+    Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. On an
+    active link the writer sends a heartbeat after HEARTBEAT_S without a message, and another task, as the writer may
+    be blocked by that very peer, aborts the connection after SILENCE_S without a message from the peer. An idle link
+    uses IDLE_HEARTBEAT_S and IDLE_SILENCE_S.
     """
 
     def __init__(
@@ -47,26 +50,36 @@
         self._heartbeat = heartbeat
         self._outbox: collections.deque[messages.Message] = collections.deque()
         self._wake = asyncio.Event()
-        self._writer: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._aborted = False
         self._last_received = asyncio.get_running_loop().time()
+        self._active = True
+        self._became_active = asyncio.Event()
+        self._active_since = self._last_received
         self.workspace = ""
 
     @property
-    def last_received(self) -> float:
-        """Loop time in seconds at which the last message arrived."""
-        return self._last_received
+    def is_silent(self) -> bool:
+        """Whether the peer has not been heard for longer than its heartbeats allow."""
+        return asyncio.get_running_loop().time() >= self._silence_deadline
+
+    @property
+    def _silence_deadline(self) -> float:
+        if self._active:
+            return max(self._last_received, self._active_since) + SILENCE_S
+        return self._last_received + IDLE_SILENCE_S
 
     async def __aenter__(self) -> Self:
-        self._writer = asyncio.create_task(self._write())
+        self._tasks = [asyncio.create_task(self._write()), asyncio.create_task(self._watch())]
         return self
 
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: "TracebackType | None"
     ) -> None:
-        if self._writer is not None:
-            self._writer.cancel()
+        for task in self._tasks:
+            task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
-                await self._writer
+                await task
         if isinstance(error, exceptions.ProtocolError):
             self._counters.add("protocol_errors", self.workspace, "")
             await self.close(str(error), code=1002)
@@ -78,6 +91,16 @@
         self._outbox.append(message)
         self._wake.set()
 
+    def set_active(self, active: bool) -> None:
+        """Say whether work depends on the link; both sides derive it from the tasks in flight."""
+        if active == self._active:
+            return
+        self._active = active
+        if active:
+            self._active_since = asyncio.get_running_loop().time()
+            self._wake.set()
+            self._became_active.set()
+
     async def receive(self) -> "messages.Message":
         """Return the next message; raise `LinkClosedError` at the end and `ProtocolError` for a bad frame."""
         try:
@@ -86,6 +109,8 @@
             if error.sent is not None and error.sent.code == frames.CloseCode.MESSAGE_TOO_BIG:
                 self._counters.add("bad_frames", self.workspace, "")
             raise exceptions.LinkClosedError(str(error)) from error
+        if self._aborted:
+            raise exceptions.LinkClosedError("the link was aborted")
         self._last_received = asyncio.get_running_loop().time()
         try:
             message = self._codec.decode(frame)
@@ -110,7 +135,8 @@
             await self._connection.close(code, short_reason)
 
     def abort(self) -> None:
-        """Drop the connection at once, without a close handshake."""
+        """Drop the connection at once, without a close handshake; frames not yet read are lost."""
+        self._aborted = True
         self._connection.transport.abort()
 
     async def _write(self) -> None:
@@ -134,16 +160,20 @@
         if self._outbox:
             return
         try:
-            async with asyncio.timeout(HEARTBEAT_S):
+            async with asyncio.timeout(HEARTBEAT_S if self._active else IDLE_HEARTBEAT_S):
                 await self._wake.wait()
         except TimeoutError:
             self._outbox.append(self._heartbeat())
-            await self._abort_if_silent()
 
-    async def _abort_if_silent(self) -> None:
+    async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
-        if loop.time() - self._last_received <= SILENCE_S:
-            return
-        await asyncio.sleep(GRACE_AFTER_PAUSE_S)
-        if loop.time() - self._last_received > SILENCE_S:
-            self.abort()
+        while not self._aborted:
+            self._became_active.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self._silence_deadline):
+                    await self._became_active.wait()
+            if loop.time() < self._silence_deadline:
+                continue
+            await asyncio.sleep(GRACE_AFTER_PAUSE_S)
+            if self.is_silent:
+                self.abort()
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -10,8 +10,10 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 1
-OutcomeState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
+PROTOCOL_VERSION = 2
+
+# The final states of `jobs.TaskState`, as only ended tasks are reported.
+FinalState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
 
 
 class EntryInfo(NamedTuple):
@@ -42,19 +44,19 @@
 
 
 class Outcome(NamedTuple):
-    """The end of one task at an agent; `state` is a value of `jobs.TaskState`."""
+    """The end of one task at an agent; `state` is the value of a final `jobs.TaskState`."""
 
     session: ids.SessionId
     number: int
     task: int
-    state: OutcomeState
+    state: FinalState
     reason: str
     result: bytes
     run_ms: float
 
 
 class AgentHello(NamedTuple):
-    """First message of an agent on a new link."""
+    """First message of an agent on a new link; `http_url` is where operators reach it."""
 
     protocol: int
     name: ids.AgentName
@@ -62,6 +64,7 @@
     workspace: ids.WorkspaceName
     data_centre: ids.DataCentreName
     slots: int
+    http_url: str
 
 
 class Welcome(NamedTuple):
@@ -121,6 +124,13 @@
     entries: list[EntryInfo]
 
 
+class AgentConfig(NamedTuple):
+    """The part of the configuration that an agent needs; a version not above the agent's is ignored."""
+
+    version: int
+    slots: int
+
+
 class Seal(NamedTuple):
     """Asks an agent to start nothing more of a session and to list what it holds of one job."""
 
@@ -149,9 +159,9 @@
 
 
 class PeerBeat(NamedTuple):
-    """Heartbeat between entries."""
+    """Heartbeat between entries; what else is known of the sender was in its `PeerHello`."""
 
-    info: EntryInfo
+    serving: bool
     config_version: int
 
 
@@ -201,6 +211,7 @@
     | PeerBeat
     | HandOver
     | HandOverDone
+    | AgentConfig
 )
 
 KINDS: tuple[type[Message], ...] = (
@@ -218,4 +229,5 @@
     PeerBeat,
     HandOver,
     HandOverDone,
+    AgentConfig,
 )
