Pass over a preferred entry that does not open a session within 1 s

Cause: the request for a session waited for up to 3 s at a preferred entry that was paused, beyond the patience of the caller, whose next request then went to the paused entry itself. Ruled out: the membership; the wait ended before the entry was considered dead. After: it opens the session itself.

--- a/src/cactusgauge/entry/forwarder.py
+++ b/src/cactusgauge/entry/forwarder.py
@@ -15,6 +15,7 @@
 HOP_HEADER = "Cactusgauge-Hop"
 CONNECT_TIMEOUT_S = 1.0
 REPLY_MARGIN_S = 3.0
+OPEN_SESSION_TIMEOUT_S = 1.0  # opening takes no time; a slower entry is passed over, as new jobs are to run within 3 s
 ALIVE_CHECK_S = 0.25
 
 
@@ -45,7 +46,7 @@
     async def open_session(self, entry: "wire.EntryInfo", workspace: str) -> caller_request.Reply | None:
         """Open a session at another entry; return None if it gave no reply."""
         url = f"{entry.http_url}/v1/workspaces/{workspace}/sessions"
-        return await self._request("POST", url, b"", {}, REPLY_MARGIN_S, caller_request.Hop.OWNER)
+        return await self._request("POST", url, b"", {}, OPEN_SESSION_TIMEOUT_S, caller_request.Hop.OWNER)
 
     async def _send(
         self, entry: "wire.EntryInfo", request: caller_request.CallerRequest, hop: caller_request.Hop
--- a/tests/system/test_owner_faults.py
+++ b/tests/system/test_owner_faults.py
@@ -179,3 +179,17 @@
 
     assert answers[0].body == first.result().body
     assert answers[0].body["state"] == "complete"
+
+
+def test_session_opens_while_the_preferred_entry_hangs(network: cluster.Cluster) -> None:
+    """Guards against new jobs that wait until an entry that was just paused is considered dead."""
+    preferred = network.get_json("entry-0", "/v1/status")["workspaces"][0]["preferred_entry"]
+    other = next(f"entry-{number}" for number in range(3) if f"entry-{number}" != preferred)
+    network.signal(preferred, signal.SIGSTOP)
+
+    session = caller.Caller(network[other].http_url).open_session()
+
+    peers = network.get_json(other, "/v1/status")["peers"]
+    paused = next(peer for peer in peers if peer["name"] == preferred)
+    assert paused["alive"]
+    assert not session.startswith(paused["incarnation"])
