--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -41,9 +41,9 @@
         if not isinstance(resume, wire.Resume):
             raise exceptions.ProtocolError("Resume expected")
         dispatcher.attach(worker, link, resume)
-        self._post_configuration(dispatcher.workspace, worker)
         if self._members.alive != welcomed:  # a change during the handshake was not broadcast to this agent
             link.post(wire.Entries(self._members.alive))
+        self._post_configuration(dispatcher.workspace, worker)
         self._events.record_state("agent_linked", agent=hello.name, incarnation=hello.incarnation)
         try:
             while True:
@@ -58,7 +58,9 @@
         """Return the heartbeat for an agent's link."""
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = self._workers.get(hello.incarnation)
-        return worker.heartbeat(dispatcher.queued_count) if worker else wire.Heartbeat(0, dispatcher.queued_count)
+        if worker is None:
+            return wire.Heartbeat(0, dispatcher.queued_count)
+        return worker.heartbeat(dispatcher.queued_count)
 
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
--- a/tests/system/test_bad_input.py
+++ b/tests/system/test_bad_input.py
@@ -9,7 +9,7 @@
 from websockets import exceptions
 from websockets.sync import client
 
-from cactusgauge import wire
+from cactusgauge import ids, wire
 from emulator import cluster
 from tests.system import caller, checks
 
@@ -146,7 +146,20 @@
     return url
 
 
-HELLO = wire.FrameCodec().encode(wire.AgentHello(wire.PROTOCOL_VERSION, "x", "1", "cheese", "serra", 8, ""))  # type: ignore[arg-type]
+def agent_hello(name: str, incarnation: str, workspace: str = "cheese") -> wire.AgentHello:
+    """Return an agent's hello."""
+    return wire.AgentHello(
+        wire.PROTOCOL_VERSION,
+        ids.AgentName(name),
+        ids.AgentIncarnation(incarnation),
+        ids.WorkspaceName(workspace),
+        ids.DataCentreName("serra"),
+        8,
+        "http://127.0.0.1:1",
+    )
+
+
+HELLO = wire.FrameCodec().encode(agent_hello("x", "1"))
 BAD_FRAMES: dict[str, bytes | str] = {
     "text": "hello",
     "empty": b"",
@@ -183,9 +196,7 @@
 def test_bad_frame_is_counted_and_closes_the_link(processes: cluster.Cluster, name: str, after_hello: bool) -> None:
     """Guards against a malformed frame that ends the entry, passes silently, or is taken for a message."""
     before = processes.counter("entry-0", "bad_frames")
-    agent = wire.FrameCodec().encode(
-        wire.AgentHello(wire.PROTOCOL_VERSION, f"x-{after_hello}", name, "cheese", "serra", 8, "")  # type: ignore[arg-type]
-    )
+    agent = wire.FrameCodec().encode(agent_hello(f"x-{after_hello}", name))
     resume = wire.FrameCodec().encode(wire.Resume(0, 0, False, 1))
 
     opening: list[bytes | str] = [agent, resume] if after_hello else []
@@ -213,7 +224,7 @@
     """Guards against two versions that misread each other's messages."""
     version = wire.PROTOCOL_VERSION + 1
     info = processes.get_json("entry-1", "/v1/status")["entry"]
-    hello: wire.Message = wire.AgentHello(version, "x", "1", "cheese", "serra", 8, "")  # type: ignore[arg-type]
+    hello: wire.Message = agent_hello("x", "1")._replace(protocol=version)
     if kind == "peer":
         hello = wire.PeerHello(version, wire.EntryInfo(**{**info, "name": "entry-9"}), 0, [])
     before = processes.counter("entry-0", "protocol_errors")
@@ -228,9 +239,9 @@
 UNEXPECTED: dict[str, list[wire.Message]] = {
     "no hello": [wire.Resume(0, 8, True, 1)],
     "result number from the future": [wire.Results(1, 0, 8, []), wire.Results(5, 0, 8, [])],
-    "state of no task": [wire.Results(1, 0, 8, [wire.Outcome("s", 1, 0, "finished", "", b"", 1.0)])],  # type: ignore[arg-type]
+    "state of no task": [wire.Results(1, 0, 8, [wire.Outcome(ids.SessionId("s"), 1, 0, "finished", "", b"", 1.0)])],
     "entry's message": [wire.Assign(1, 0, 0, [])],
-    "workspace unknown": [wire.AgentHello(wire.PROTOCOL_VERSION, "y", "1", "no-such", "serra", 8, "")],  # type: ignore[arg-type]
+    "workspace unknown": [agent_hello("y", "1", "no-such")],
 }
 
 
@@ -239,7 +250,7 @@
 def test_message_against_the_protocol_closes_the_link(processes: cluster.Cluster, name: str) -> None:
     """Guards against a well-formed message that breaks the rules of the exchange."""
     frames = [wire.FrameCodec().encode(message) for message in UNEXPECTED[name]]
-    agent = wire.FrameCodec().encode(wire.AgentHello(wire.PROTOCOL_VERSION, "z", name, "cheese", "serra", 8, ""))  # type: ignore[arg-type]
+    agent = wire.FrameCodec().encode(agent_hello("z", name))
     resume = wire.FrameCodec().encode(wire.Resume(0, 0, False, 1))
     opening = [] if name in ("no hello", "workspace unknown") else [agent, resume]
 
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -33,7 +33,7 @@
             ids.WorkspaceName("cheese"),
             ids.DataCentreName("serra"),
             8,
-            "",
+            "http://127.0.0.1:1",
         )
         self.send(hello)
         self.welcome = cast("wire.Welcome", self.receive(wire.Welcome))
@@ -42,13 +42,17 @@
         """Send a message."""
         self._connection.send(self._codec.encode(message))
 
-    def receive(self, kind: type[wire.Message]) -> wire.Message:
-        """Return the next message of a kind."""
+    def receive(self, kind: type[wire.Message], others: "abc.Sequence[PlayedAgent]" = ()) -> wire.Message:
+        """Return the next message of a kind; keep other links alive with heartbeats meanwhile."""
         end = time.monotonic() + TIMEOUT_S
-        while True:
-            message = self._codec.decode(self._connection.recv(timeout=end - time.monotonic()))
-            if isinstance(message, kind):
-                return message
+        while time.monotonic() < end:
+            for other in others:
+                other.send(wire.Heartbeat(0, 0))
+            with contextlib.suppress(TimeoutError):
+                message = self._codec.decode(self._connection.recv(timeout=0.5))
+                if isinstance(message, kind):
+                    return message
+        raise TimeoutError(f"no {kind.__name__} within {TIMEOUT_S} s")
 
 
 @contextlib.contextmanager
--- a/tests/unit/configuration/test_agent_configuration.py
+++ b/tests/unit/configuration/test_agent_configuration.py
@@ -1,5 +1,6 @@
 """The part of the configuration that reaches agents."""
 
+
 import aiohttp
 import pytest
 
