Wait until the entries see each other in the system tests of the configuration

An entry can be ready and linked to agents before it has a link to another entry, and the command finds the other entries through one of them.

--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -171,6 +171,16 @@
         """Wait until an entry sees a number of available workers."""
         self.wait_until(lambda: self.available_workers(entry) >= agents, f"{agents} workers at {entry}")
 
+    def wait_peers(self, *entries: str) -> None:
+        """Wait until each entry sees all the others alive; readiness and links to agents do not imply that."""
+        for entry in entries:
+            others = set(entries) - {entry}
+            self.wait_until(lambda entry=entry, others=others: others <= self.peers(entry), f"{entry} sees {others}")
+
+    def peers(self, entry: str) -> set[str]:
+        """Return the names of the other entries that an entry sees alive."""
+        return {peer["name"] for peer in self.get_json(entry, "/v1/status")["peers"]}
+
     def available_workers(self, entry: str) -> int:
         """Return how many workers an entry may send work to."""
         status = self.get_json(entry, "/v1/status")
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -61,6 +61,7 @@
     processes.wait_ready(*ENTRIES)
     for name in ENTRIES:
         processes.wait_linked(name, 1)
+    processes.wait_peers(*ENTRIES)
     return Operator(processes, tmp_path)
 
 
@@ -130,6 +131,7 @@
     processes.trim_log(published["version"] + 1)
     processes.start_entry("entry-3")
     processes.wait_ready("entry-3")
+    processes.wait_peers(*ENTRIES, "entry-3")
     shown = operator.run("show", "--everywhere")
     versions = {process["name"]: process["version"] for process in shown["processes"]}
     assert versions == dict.fromkeys([*ENTRIES, "entry-3", "agent-0"], published["version"])
