--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -128,10 +128,12 @@
         if self.serving != self._shown_serving:
             self._shown_serving = self.serving
             self._events.record_state("serving_changed", serving=self.serving)
-            self._show_state()
         self._starts.expire()
         for ledger in self._ledgers.values():
             ledger.expire()
+            # An entry that linked since the last call may have been told another state than the others.
+            if ledger.shown_serving != self.serving:
+                ledger.show_state(self._credit(ledger), self.serving)
 
     async def drain(self) -> None:
         """Take no new work, and wait until all running tasks ended and their results were received."""
@@ -188,7 +190,8 @@
             self._starts.remove_start(task_id)
         else:
             self._starts.add_outcome(outcome)
-            self._counters.add("tasks_started", self._workspace, "")
+            label = "idempotent" if start.idempotent else "non_idempotent"
+            self._counters.add("tasks_started", self._workspace, label)
             self._counters.add("slot_seconds", self._workspace, "", outcome.run_ms / 1000)
         self._counters.add(f"tasks_{outcome.state}", self._workspace, outcome.reason)
         self._events.record(
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -136,19 +136,27 @@
             asyncio.get_running_loop().call_soon(self._dispatch)
 
     def find_worker(self, hello: wire.AgentHello) -> remote_worker.RemoteWorker:
-        """Return the view of the agent that says hello; tasks of an earlier incarnation become unknown."""
+        """Return the view of the agent that says hello; a new view is not in use before `attach`."""
         known = self._workers.get(hello.name)
         if known is not None and known.incarnation == hello.incarnation:
             return known
-        if known is not None:
-            self._abandon(known, jobs.Reason.AGENT_RESTARTED)
         account = self._accounts.setdefault((hello.name, hello.incarnation), accounting.PairAccount())
-        created = remote_worker.RemoteWorker(hello, hello.data_centre, account)
-        self._workers[hello.name] = created
-        return created
+        return remote_worker.RemoteWorker(hello, hello.data_centre, account)
 
     def attach(self, worker: remote_worker.RemoteWorker, link: wire.Link, resume: wire.Resume) -> None:
-        """Use a worker's new link; tasks that never arrived return to the queue."""
+        """Use a worker's new link; tasks that never arrived return to the queue.
+
+        Only an agent that runs completes the handshake, so only then it replaces the view of another incarnation,
+        whose tasks become unknown.
+        """
+        known = self._workers.get(worker.name)
+        if known is not None and known is not worker:
+            if known.incarnation == worker.incarnation:
+                raise exceptions.ProtocolError(f"agent {worker.name} opened two first links")
+            self._abandon(known, jobs.Reason.AGENT_RESTARTED)
+            if known.link is not None:
+                known.link.abort()
+        self._workers[worker.name] = worker
         for task_id in worker.attach(link, resume):
             self._return_to_queue(task_id)
         self.schedule()
@@ -166,6 +174,10 @@
         useless = [self._take_outcome(worker, outcome) for outcome in results.outcomes]
         if useless and all(useless):
             self._counters.add("messages_wasted", self.workspace, useless[0])
+        refused = results.outcomes and all(each.reason == jobs.Reason.NO_SLOT.value for each in results.outcomes)
+        if refused and worker.free_slots:
+            # The agent still runs tasks that were given up here, so its credit would be answered by refusals only.
+            worker.pause(asyncio.get_running_loop().time())
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
@@ -190,10 +202,10 @@
     def _push(self, job: jobs.Job) -> None:
         heapq.heappush(self._heap, (self._ordering.key(job), next(self._heap_numbers), job))
 
-    def _next_job(self) -> jobs.Job | None:
+    def _next_job(self, now: float) -> jobs.Job | None:
         while self._heap:
             key, _, job = self._heap[0]
-            if job.id not in self._jobs or not job.queued_count:
+            if job.id not in self._jobs or not job.queued_count or now >= job.deadline:
                 heapq.heappop(self._heap)
                 continue
             current_key = self._ordering.key(job)
@@ -229,7 +241,7 @@
         free = [worker for worker in available if free_slots[worker.name] > 0]
         if not free:
             return None
-        job = self._next_job()
+        job = self._next_job(now)
         if job is None:
             return None
         task = job.next_task()
@@ -293,8 +305,11 @@
         if job is None or not job.return_to_queue(task_id.task):
             return
         self._queued_count += 1
-        self._push(job)
         self._counters.add("tasks_returned", self.workspace, "")
+        if job.refusal is not None:
+            self._refuse_queued(job, job.refusal)
+            return
+        self._push(job)
 
     def _refuse_sealed(self, session: ids.SessionId) -> None:
         for job in list(self._jobs.values()):
--- a/src/cactusgauge/dispatch/remote_worker.py
+++ b/src/cactusgauge/dispatch/remote_worker.py
@@ -41,11 +41,12 @@
         self._http_url = hello.http_url
         self._data_centre = data_centre
         self._link: wire.Link | None = None
+        self._link_number = 0
         self._credit = 0
         self._serving = False
         self._paused_until = 0.0
         self._last_assign_number = 0
-        self._last_result_number = 0
+        self._last_result_number: int | None = None
         self._result_ack_due = False
         self._unacknowledged: collections.deque[tuple[int, list[ids.TaskId]]] = collections.deque()
         self._in_flight: dict[ids.TaskId, InFlight] = {}
@@ -95,7 +96,7 @@
     @property
     def last_result_number(self) -> int:
         """Number of the last results message taken in."""
-        return self._last_result_number
+        return self._last_result_number or 0
 
     @property
     def lost_since(self) -> float | None:
@@ -125,7 +126,15 @@
         return max(0.0, min(entry.expected_end for entry in self._in_flight.values()) - now)
 
     def attach(self, link: "wire.Link", resume: wire.Resume) -> list[ids.TaskId]:
-        """Take a new link; return the tasks that the agent provably never received."""
+        """Take a new link; return the tasks that the agent provably never received.
+
+        What arrives on an earlier link from now on is older than `resume`, so that link is aborted.
+        """
+        if resume.link_number <= self._link_number:
+            raise exceptions.ProtocolError(f"link {resume.link_number} after {self._link_number}")
+        self._link_number = resume.link_number
+        if self._link is not None and self._link is not link:
+            self._link.abort()
         self._link = link
         self._lost_since = None
         self.update_state(resume.credit, resume.serving)
@@ -170,7 +179,7 @@
         for task_id, (_, _, run_s) in zip(task_ids, tasks, strict=True):
             self._in_flight[task_id] = InFlight(self._last_assign_number, now, now + run_s)
         self._unacknowledged.append((self._last_assign_number, task_ids))
-        message = wire.Assign(self._last_assign_number, self._last_result_number, demand, starts)
+        message = wire.Assign(self._last_assign_number, self.last_result_number, demand, starts)
         self._shown_demand = demand
         self._update_activity()
         self._link.post(message)
@@ -180,7 +189,7 @@
         """Return a heartbeat that acknowledges results and shows the entry's demand."""
         self._shown_demand = demand
         self._update_activity()
-        return wire.Heartbeat(self._last_result_number, demand)
+        return wire.Heartbeat(self.last_result_number, demand)
 
     def acknowledge(self, assign_ack: int) -> None:
         """Note that the agent received all assigns up to a number."""
@@ -189,11 +198,16 @@
             self._account.count_assign(number, len(task_ids))
 
     def accept_results(self, results: wire.Results) -> bool:
-        """Note a results message; return False for a repeated one."""
-        if results.number <= self._last_result_number:
-            return False
-        if results.number != self._last_result_number + 1:
-            raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
+        """Note a results message; return False for a repeated one.
+
+        The first message may have any number: an agent sends again from the first one without acknowledgement, and
+        it may have sent others to an earlier view of it.
+        """
+        if self._last_result_number is not None:
+            if results.number <= self._last_result_number:
+                return False
+            if results.number != self._last_result_number + 1:
+                raise exceptions.ProtocolError(f"results {results.number} after {self._last_result_number}")
         self._last_result_number = results.number
         self._account.count_results(results.number, results.outcomes)
         self.acknowledge(results.assign_ack)
--- a/src/cactusgauge/settings/daemon_settings.py
+++ b/src/cactusgauge/settings/daemon_settings.py
@@ -45,6 +45,7 @@
     http_port: Port
     seeds: list[LinkUrl] = []
     drain_notice_s: float = pydantic.Field(default=1.0, ge=0)
+    accounting_interval_s: float = pydantic.Field(default=10.0, ge=0.1)
 
     @property
     def http_url(self) -> str:
@@ -53,25 +54,39 @@
 
 
 class EntrySettings(DaemonSettings):
-    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing."""
+    """Settings of an entry; `size` is its declared size, the weight in rendezvous hashing.
+
+    The advertised URLs are needed where other processes reach the entry under another address than it binds.
+    """
 
     role: Literal["entry"]
     link_port: Port
     workspaces: list[ids.WorkspaceName] = pydantic.Field(min_length=1)
     size: float = pydantic.Field(default=1.0, gt=0)
     log_url: HttpUrl
+    advertised_http_url: HttpUrl | None = None
+    advertised_link_url: LinkUrl | None = None
+
+    @property
+    def http_url(self) -> str:
+        """URL under which other processes reach this one's HTTP interface."""
+        return self.advertised_http_url or super().http_url
 
     @property
     def link_url(self) -> str:
         """URL under which agents and other entries open links."""
-        return f"ws://{self.host}:{self.link_port}"
+        return self.advertised_link_url or f"ws://{self.host}:{self.link_port}"
 
 
 class AgentSettings(DaemonSettings):
-    """Settings of an agent; `slots` and `connections` are hard limits towards its backend server."""
+    """Settings of an agent; `slots` and `connections` are hard limits towards its backend server.
+
+    Without `log_url` the agent keeps no accounting records, and the audit reports them as missing.
+    """
 
     role: Literal["agent"]
     workspace: ids.WorkspaceName
     slots: int = pydantic.Field(default=8, ge=1)
     connections: int = pydantic.Field(default=64, ge=1)
     links_per_agent: int = pydantic.Field(default=3, ge=1)
+    log_url: HttpUrl | None = None
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -78,11 +78,16 @@
 
 
 class Resume(NamedTuple):
-    """Ends the handshake; assigns above `last_assign_number` were not and will not be handled."""
+    """Ends the handshake; assigns above `last_assign_number` were not and will not be handled.
+
+    `link_number` counts the agent's links to the entry incarnation. A message of a link may arrive after those of a
+    later one, so without it an old `Resume` would pass for proof that newer assigns were not handled.
+    """
 
     last_assign_number: int
     credit: int
     serving: bool
+    link_number: int
 
 
 class Assign(NamedTuple):
