End accepted jobs early that have become hopeless

Cause: in a burst later, smaller jobs go first, so a large job can miss its deadline although admission expected it in time; it then ran some of its tasks and was cut off. Jobs of which nothing was sent are now ended as not run when the queued work ahead makes them late.

--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -59,6 +59,24 @@
     assert made.dispatcher.queued_count == 81
 
 
+async def test_job_that_became_hopeless_is_refused_whole_before_its_deadline(bench: Bench) -> None:
+    """Guards against tasks wasted on a job that smaller ones have made late, and against partial refusals."""
+    made = bench(1)
+    await _learn(made)
+    made.finished.clear()
+    late, begun = _job(1, 300, deadline_ms=6_000), _job(2, 1)
+    made.dispatcher.admit(late)
+    for number in range(2, 42):
+        made.dispatcher.admit(begun if number == 2 else _job(number, 8))
+    await asyncio.sleep(0.01)
+
+    made.dispatcher.sweep()
+
+    assert made.finished == [late]
+    assert {report.reason for report in late.answer().reports} == {jobs.Reason.DEADLINE.value}
+    assert made.dispatcher.queued_count == 1 + 39 * 8 - 8
+
+
 async def test_declared_times_alone_refuse_nothing(bench: Bench) -> None:
     """Guards against a job refused because of a declaration that is wrong by a factor of ten."""
     made = bench(1)
