Revert "End accepted jobs early that have become hopeless"

Cause: the estimate uses the workers that can take work at that moment. When most agents are out of reach for some seconds, every accepted job with a close deadline would be refused, although the workers return in time. An accepted job is refused by its deadline only.

--- a/src/cactusgauge/dispatch/admission.py
+++ b/src/cactusgauge/dispatch/admission.py
@@ -50,29 +50,9 @@
             error = exceptions.OverloadedError(f"{len(queue)} tasks are queued; the limit is {limit}")
             error.retry_after_s = self._retry_s(excess * self._mean_run_s(job) / rate if rate else MAX_RETRY_S)
             raise error
-        if rate and self._is_learned(job):
+        if rate and all(self._speeds.is_learned(task.request) for task in self._tasks(job)):
             self._check_deadline(job, queue, workers, rate, now)
 
-    def hopeless(
-        self, queue: "job_queue.JobQueue", workers: "abc.Collection[remote_worker.RemoteWorker]", now: float
-    ) -> "list[jobs.Job]":
-        """Return the accepted jobs of which nothing was sent and which would end after their deadlines.
-
-        Jobs that came later and go first can make a job late. Starting it would only waste its first tasks.
-        """
-        rate = self._capacity(workers)
-        if not rate:
-            return []
-        hopeless = []
-        ahead_s = 0.0
-        for job, work_s in queue.work():
-            ends_at = now + (ahead_s + work_s) / rate
-            if ends_at > job.deadline and job.queued_count == job.task_count and self._is_learned(job):
-                hopeless.append(job)
-            else:
-                ahead_s += work_s
-        return hopeless
-
     def _check_deadline(
         self,
         job: "jobs.Job",
@@ -101,9 +81,6 @@
         """Return the seconds of work, at slowness 1, that the workers do in a second."""
         return sum(worker.credit / self._speeds.slowness(worker.name) for worker in workers)
 
-    def _is_learned(self, job: "jobs.Job") -> bool:
-        return all(self._speeds.is_learned(task.request) for task in self._tasks(job))
-
     def _mean_run_s(self, job: "jobs.Job") -> float:
         return sum(self._speeds.expected_run_s(task.request) for task in self._tasks(job)) / job.task_count
 
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -215,15 +215,13 @@
         self.schedule()
 
     def sweep(self) -> None:
-        """End what is over time: queued tasks after the deadline or sure to miss it, tasks at lost agents."""
+        """End what is over time: queued tasks after the deadline, tasks at lost agents."""
         now = asyncio.get_running_loop().time()
         for job in list(self._jobs.values()):
             if now >= job.deadline:
                 self._refuse_queued(job, jobs.Reason.DEADLINE)
             if now >= job.deadline + DEADLINE_GRACE_S:
                 self._give_up(job)
-        for job in self._admission.hopeless(self._queue, self._usable_workers(now), now):
-            self._refuse_queued(job, jobs.Reason.DEADLINE)
         for worker in list(self._workers.values()):
             if worker.lost_since is not None and now - worker.lost_since > AGENT_LOST_S:
                 self._abandon(worker, jobs.Reason.AGENT_LOST)
--- a/src/cactusgauge/dispatch/job_queue.py
+++ b/src/cactusgauge/dispatch/job_queue.py
@@ -90,11 +90,6 @@
             for _, index in waiting.tasks:
                 yield waiting.job, waiting.job.task_at(index)
 
-    def work(self) -> "abc.Iterator[tuple[jobs.Job, float]]":
-        """Yield the waiting jobs with their expected waiting work, in seconds at slowness 1, next one first."""
-        for waiting in self._places.values():
-            yield waiting.job, waiting.mean_run_s * len(waiting.tasks)
-
     def work_before(self, key: float) -> float:
         """Return the expected work, in seconds at slowness 1, of the waiting tasks of jobs up to a rank."""
         work_s = 0.0
--- a/tests/unit/configuration/test_agent_configuration.py
+++ b/tests/unit/configuration/test_agent_configuration.py
@@ -1,6 +1,5 @@
 """The part of the configuration that reaches agents."""
 
-
 import aiohttp
 import pytest
 
