--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -181,6 +181,7 @@
         f"mean {result['ratio_mean']:.2f} p50 {result['ratio_p50']:.2f} p99 {result['ratio_p99']:.2f} "
         f"max {result['ratio_max']:.2f}; {jobs}; {result['messages_per_task']:.2f} messages/task, "
         f"wasted {result['wasted_share']:.2%}; duplicates {result['duplicate_starts']}; "
+        f"servers over their slots {result['slots_exceeded']}; "
         f"machine load {result['machine_load']}"
     )
     if result["quarantines"]:
