--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -140,3 +140,19 @@
         answer = last.get(session, 1)
         assert checks.check_answer(processes, answer, session, 1, 4, "fee") == {"completed": 4}
         assert not answer.body["recovered"]
+
+
+def test_job_that_nobody_waits_for_is_finished_before_the_stop(processes: cluster.Cluster) -> None:
+    """Guards against an entry that stops once no request is open although accepted jobs still run."""
+    each = caller.Caller(processes["entry-0"].http_url)
+    session = each.open_session()
+    assert each.submit(session, 1, caller.fee_body(32, 300), wait_s=0).status == 202
+    owner = owner_of(processes, session)
+    checks.wait_started(processes, session, 1)
+    stop(processes, owner)
+
+    other = next(name for name in ENTRIES if name != owner)
+    answer = caller.Caller(processes[other].http_url).get(session, 1)
+
+    assert checks.check_answer(processes, answer, session, 1, 32, "fee") == {"completed": 32}
+    assert not answer.body["recovered"]
