Hold a slot past the deadline while the server may still run the task

Cause: an agent freed the slot of a task when it cut the request off at the job's deadline, but the backend server went on with the task. Ruled out: the gate itself; it never passed its limit in its tests. Change: the outcome is reported at the deadline as before; the slot is held until the server answers, the connection ends, or the lease ends. Test: a server that hangs keeps the slot until its lease ends.

--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -144,6 +144,7 @@
         if self.serving != self._shown_serving:
             self._shown_serving = self.serving
             self._events.record_state("serving_changed", serving=self.serving)
+        self._runner.end_overdue()
         self._starts.expire()
         for ledger in self._ledgers.values():
             ledger.expire()
@@ -195,13 +196,11 @@
         job = str(task_id.job)
         self._events.record("task_started", job=job, task=start.task, assign=assign)
         try:
-            outcome = await self._runner.run(start)
+            outcome = await self._runner.run(start, lambda: self._release(ledger))
         except Exception:  # a fault of ours must neither lose the slot nor leave the task without an outcome
             logging.exception("start of task %s", task_id)
             unknown, reason = jobs.TaskState.UNKNOWN.value, jobs.Reason.INTERNAL_ERROR.value
             outcome = wire.Outcome(start.session, start.number, start.task, unknown, reason, b"", 0)
-        finally:
-            self._gate.release(ledger.incarnation)
         if outcome.state == jobs.TaskState.NOT_RUN.value:
             self._starts.remove_start(task_id)
         else:
@@ -216,6 +215,10 @@
         ledger.add_outcome(outcome)
         self._schedule_flush()
 
+    def _release(self, ledger: entry_ledger.EntryLedger) -> None:
+        self._gate.release(ledger.incarnation)
+        self._schedule_flush()
+
     def _schedule_flush(self) -> None:
         if not self._flush_scheduled:
             self._flush_scheduled = True
--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -8,6 +8,8 @@
 from cactusgauge import ids, jobs, wire
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge.agent import backend_server_lease
 
 TASK_HEADER = "Cactusgauge-Task"
@@ -25,6 +27,8 @@
 MIN_CONNECT_S = 0.001  # zero would mean no limit
 MILLISECONDS_PER_SECOND = 1000
 
+Ended = tuple[jobs.TaskState, jobs.Reason, bytes]
+
 
 class TaskRunner:
     """Sends each start to the backend server once and tells how it ended.
@@ -37,16 +41,48 @@
     def __init__(self, session: aiohttp.ClientSession, lease: "backend_server_lease.BackendServerLease") -> None:
         self._session = session
         self._lease = lease
+        self._overdue: dict[asyncio.Task[Ended], ids.LeaseId] = {}
+
+    async def run(self, start: wire.Start, release: "abc.Callable[[], None]") -> wire.Outcome:
+        """Start a task and return its outcome, at the latest at the job's deadline.
 
-    async def run(self, start: wire.Start) -> wire.Outcome:
-        """Start a task and return its outcome."""
+        `release` is called once the server no longer works on the task as far as can be told: when it answered, when
+        the connection ended, or when its lease did. That may be after the outcome, as no request stops a task.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
-        state, reason, result = await self._send(start)
+        lease = self._lease.valid
+        exchange = asyncio.create_task(self._send(start))
+        exchange.add_done_callback(lambda _: release())
+        await asyncio.wait([exchange], timeout=start.remaining_ms / MILLISECONDS_PER_SECOND)
+        if exchange.done():
+            state, reason, result = exchange.result()
+        else:
+            state, reason, result = jobs.TaskState.UNKNOWN, jobs.Reason.DEADLINE, b""
+            self._keep_overdue(exchange, lease)
         run_ms = (loop.time() - began) * MILLISECONDS_PER_SECOND
         return wire.Outcome(start.session, start.number, start.task, state.value, reason.value, result, run_ms)
 
-    async def _send(self, start: wire.Start) -> tuple[jobs.TaskState, jobs.Reason, bytes]:
+    def end_overdue(self) -> None:
+        """Give up the tasks past their deadline whose server has no valid lease any more."""
+        lease = self._lease.valid
+        for exchange, lease_id in self._overdue.items():
+            if lease is None or lease.id != lease_id:
+                exchange.cancel()
+
+    def _keep_overdue(self, exchange: "asyncio.Task[Ended]", lease: "backend_server_lease.Lease | None") -> None:
+        if lease is None:
+            exchange.cancel()
+            return
+        self._overdue[exchange] = lease.id
+        exchange.add_done_callback(self._forget_overdue)
+
+    def _forget_overdue(self, exchange: "asyncio.Task[Ended]") -> None:
+        self._overdue.pop(exchange, None)
+        if not exchange.cancelled():
+            exchange.exception()  # the outcome was reported; an error of the late answer is of no further use
+
+    async def _send(self, start: wire.Start) -> Ended:
         lease = self._lease.valid
         if lease is None:
             return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
@@ -59,7 +95,7 @@
         }
         # Nothing is sent before there is a connection, so a start never leaves after the lease has expired.
         connect_s = max(MIN_CONNECT_S, lease.expires_at - asyncio.get_running_loop().time())
-        timeout = aiohttp.ClientTimeout(total=start.remaining_ms / MILLISECONDS_PER_SECOND, connect=connect_s)
+        timeout = aiohttp.ClientTimeout(total=None, connect=connect_s)
         try:
             async with self._session.post(
                 lease.url, data=start.payload.encode(), headers=headers, timeout=timeout, allow_redirects=False
@@ -69,13 +105,11 @@
             return jobs.TaskState.NOT_RUN, jobs.Reason.CONNECTION_REFUSED, b""
         except aiohttp.ConnectionTimeoutError:
             return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
-        except TimeoutError:
-            return jobs.TaskState.UNKNOWN, jobs.Reason.DEADLINE, b""
         except (aiohttp.ClientError, OSError):
             return jobs.TaskState.UNKNOWN, jobs.Reason.CONNECTION_LOST, b""
 
     @staticmethod
-    async def _read(response: aiohttp.ClientResponse) -> tuple[jobs.TaskState, jobs.Reason, bytes]:
+    async def _read(response: aiohttp.ClientResponse) -> Ended:
         if response.status == PRECONDITION_FAILED and response.headers.get(NOT_RUN_HEADER) == "1":
             return jobs.TaskState.NOT_RUN, jobs.Reason.REFUSED_BY_BACKEND_SERVER, b""
         body = await response.content.read(MAX_RESULT_BYTES + 1)
--- a/tests/unit/agent/test_task_runner.py
+++ b/tests/unit/agent/test_task_runner.py
@@ -84,7 +84,7 @@
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
         runner = runner_type(session, lease)
         starts = [conftest.new_start(task)._replace(remaining_ms=remaining_ms) for task in range(tasks)]
-        return [await runner.run(start) for start in starts]
+        return [await runner.run(start, lambda: None) for start in starts]
 
 
 def _answer(body: bytes = b"ok", status: bytes = b"200 OK", headers: bytes = b"") -> bytes:
@@ -139,6 +139,23 @@
     assert (outcome.state, outcome.reason) == ("unknown", "deadline")
 
 
+async def test_slot_is_held_past_the_deadline_until_the_lease_ends() -> None:
+    """Guards against more tasks at a server than it has slots, because it still runs one past its deadline."""
+    server, released = _Server(HANG, keep_open=True), asyncio.Event()
+    lease = backend_server_lease.BackendServerLease()
+    async with server.serving(), aiohttp.ClientSession() as session, asyncio.timeout(30):
+        conftest.grant_lease(lease, server.url)
+        runner = task_runner.TaskRunner(session, lease)
+        outcome = await runner.run(conftest.new_start(0)._replace(remaining_ms=50), released.set)
+        runner.end_overdue()
+        await asyncio.sleep(0.05)
+        assert (outcome.state, outcome.reason, released.is_set()) == ("unknown", "deadline", False)
+        assert lease.valid is not None
+        lease.leave(lease.valid.id)
+        runner.end_overdue()
+        await released.wait()
+
+
 async def test_start_is_not_sent_under_a_lease_that_expired_during_connecting() -> None:
     """Guards against new work for a server that fell silent while the connection was being opened."""
     server = _Server(_answer(), keep_open=True)
--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -152,11 +152,17 @@
             self.lease.announce("server", SERVER_URL, self.lease.valid.id, asyncio.get_running_loop().time())
         self.controller.refresh()
 
-    async def run(self, start: wire.Start) -> wire.Outcome:
+    async def run(self, start: wire.Start, release: abc.Callable[[], None]) -> wire.Outcome:
         """Record the start and wait for its end."""
         run = Run(self, start)
         self._world.runs.append(run)
-        return await run.ended
+        try:
+            return await run.ended
+        finally:
+            release()
+
+    def end_overdue(self) -> None:
+        """Do nothing: no start here ends by itself."""
 
 
 class Entry:
