--- a/tests/system/test_owner_faults.py
+++ b/tests/system/test_owner_faults.py
@@ -25,18 +25,10 @@
         processes.wait_ready("entry-0", "entry-1", "entry-2")
         for number in range(3):
             processes.wait_linked(f"entry-{number}", AGENTS)
-            processes.wait_until(
-                lambda name=f"entry-{number}": sees_peers(processes, name, 2), "the entries are linked"
-            )
+            processes.wait_peers(f"entry-{number}", 2)
         yield processes
 
 
-def sees_peers(processes: cluster.Cluster, entry: str, count: int) -> bool:
-    """Return whether an entry sees a number of other entries alive."""
-    peers = processes.get_json(entry, "/v1/status")["peers"]
-    return sum(peer["alive"] for peer in peers) >= count
-
-
 def open_session(processes: cluster.Cluster) -> tuple[str, str, list[str]]:
     """Open a session; return it with the names of its owner and of the other entries."""
     session = caller.Caller(processes["entry-0"].http_url).open_session()
