--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,9 +5,8 @@
 import sys
 import tempfile
 import time
-import urllib.request
 
-from emulator import cluster
+from emulator import cluster, http_json
 
 TASK_COUNT = 340
 RUN_MS = 50
@@ -17,13 +16,6 @@
 WAIT_S = 60
 
 
-def _call(method: str, url: str, body: bytes | None = None) -> dict[str, object]:
-    request = urllib.request.Request(url, method=method, data=body)
-    with urllib.request.urlopen(request, timeout=WAIT_S + 5) as response:
-        document: dict[str, object] = json.load(response)
-        return document
-
-
 def _run(processes: cluster.Cluster) -> int:
     for name in ENTRIES:
         processes.start_entry(name)
@@ -33,10 +25,10 @@
     for name in ENTRIES:
         processes.wait_linked(name, len(SPEEDS))
     base = f"{processes['entry-1'].http_url}/v1/workspaces/{processes.workspace}/sessions"
-    session = _call("POST", base)["session"]
+    session = http_json.call("POST", base)["session"]
     tasks = [{"payload": json.dumps({"run_ms": RUN_MS, "result": f"label {index}"})} for index in range(TASK_COUNT)]
     began = time.monotonic()
-    answer = _call("PUT", f"{base}/{session}/jobs/1?wait={WAIT_S}", json.dumps({"tasks": tasks}).encode())
+    answer = http_json.call("PUT", f"{base}/{session}/jobs/1?wait={WAIT_S}", json.dumps({"tasks": tasks}).encode())
     elapsed_s = time.monotonic() - began
     reports = answer["tasks"]
     assert isinstance(reports, list)
