--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -36,6 +36,7 @@
 HELD_JOBS = (100, 300, 900)
 RUN_MS = 50
 MAX_SLOTS = 64
+WORKERS = 11
 SEGMENT_OVERHEAD_BYTES = 54  # IP and TCP headers with timestamps, and the shortest WebSocket header
 
 TARGET_WORKERS = 570
@@ -230,16 +231,21 @@
     return Meter(processes, name)
 
 
+async def _link_agents(processes: cluster.Cluster, name: str, count: int) -> list[asyncio.Task[None]]:
+    codec = wire.FrameCodec()
+    url = await asyncio.to_thread(_link_url, processes, name)
+    agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(count)]
+    await asyncio.to_thread(processes.wait_linked, name, count)
+    return agents
+
+
 async def measure_entry_links(processes: cluster.Cluster) -> list[Sample]:
     """Measure an idle entry over the number of linked agents."""
     samples = []
     for count in AGENT_COUNTS:
         name = f"entry-links-{count}"
         meter = await _start_entry(processes, name)
-        codec = wire.FrameCodec()
-        url = await asyncio.to_thread(_link_url, processes, name)
-        agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(count)]
-        await asyncio.to_thread(processes.wait_linked, name, count)
+        agents = await _link_agents(processes, name, count)
         await asyncio.sleep(SETTLE_S)
         samples.append(await meter.sample(count, IDLE_WINDOW_S))
         await _cancel(agents)
@@ -267,10 +273,7 @@
     """Measure an entry over the rate of tasks, in jobs of TASKS_PER_JOB."""
     name = "entry-tasks"
     meter = await _start_entry(processes, name)
-    codec = wire.FrameCodec()
-    url = await asyncio.to_thread(_link_url, processes, name)
-    agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(11)]
-    await asyncio.to_thread(processes.wait_linked, name, 11)
+    agents = await _link_agents(processes, name, WORKERS)
     samples = []
     async with aiohttp.ClientSession() as session:
         for rate in TASK_RATES:
@@ -290,10 +293,7 @@
     for count in HELD_JOBS:
         name = f"entry-held-{count}"
         meter = await _start_entry(processes, name)
-        codec = wire.FrameCodec()
-        url = await asyncio.to_thread(_link_url, processes, name)
-        agents = [asyncio.create_task(FakeAgent(number, codec).run(url)) for number in range(11)]
-        await asyncio.to_thread(processes.wait_linked, name, 11)
+        agents = await _link_agents(processes, name, WORKERS)
         async with aiohttp.ClientSession() as session:
             base = f"{processes[name].http_url}/v1/workspaces/{WORKSPACE}/sessions"
             for _ in range(count // 50):
