Keep a cancellation that arrives while a link closes

Link.__aexit__ awaited each cancelled task of its own and suppressed CancelledError there. A cancellation of the dial task itself in that moment was suppressed as well: the task went on dialling, and EntryLinks.run, PeerLinks.run and with them the planned stop waited for it for ever. The new test fails with the old code.

Link.drain now waits for several links, with its bound beside it.

--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -26,6 +26,8 @@
 IDLE_HEARTBEAT_S = 5.0  # an entry with 122 idle links spends under 7 KB/s at the target size
 IDLE_SILENCE_S = 15.0
 GRACE_AFTER_PAUSE_S = 0.2  # a process that was itself paused first reads what arrived meanwhile
+DRAIN_TIMEOUT_S = 1.0
+DRAIN_CHECK_S = 0.01
 CLOSE_REASON_BYTES = 120  # a close frame holds at most 123 bytes of reason
 
 
@@ -69,6 +71,11 @@
         """Whether the peer has not been heard for so long that new work should not depend on it."""
         return asyncio.get_running_loop().time() >= self._silence_deadline - (SILENCE_S - SUSPECT_S)
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether every posted message was handed to the transport."""
+        return not self._outbox
+
     @property
     def _silence_deadline(self) -> float:
         if self._active:
@@ -84,8 +91,11 @@
     ) -> None:
         for task in self._tasks:
             task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        try:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        except asyncio.CancelledError:
+            self.abort()
+            raise
         if isinstance(error, exceptions.ProtocolError):
             self._counters.add("protocol_errors", self.workspace, "")
             await self.close(str(error), code=1002)
@@ -128,10 +138,14 @@
         self._counters.add("bytes_received", self.workspace, name, len(frame))
         return message
 
-    async def drain(self) -> None:
-        """Wait until every posted message was handed to the transport."""
-        while self._outbox:
-            await asyncio.sleep(0.01)
+    @staticmethod
+    async def drain(links: "abc.Iterable[Link]") -> None:
+        """Wait until all posted messages of some links were handed to the transport, at most DRAIN_TIMEOUT_S."""
+        links = list(links)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                while not all(link.is_drained for link in links):
+                    await asyncio.sleep(DRAIN_CHECK_S)
 
     async def close(self, reason: str, code: int = 1000) -> None:
         """Close the connection and tell the peer why."""
--- a/tests/unit/wire/test_link.py
+++ b/tests/unit/wire/test_link.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 from typing import Any
 
 import pytest
@@ -101,3 +102,22 @@
         connection.frames.put_nowait(wire.FrameCodec().encode(BEAT))
         await link.receive()
         assert not link.is_suspect
+
+
+@pytest.mark.looptime
+async def test_cancellation_while_a_link_closes_is_not_lost() -> None:
+    """Guards against a stop that waits for ever for a task that took its cancellation for that of the link's writer."""
+    connection = _Connection(is_full=False)
+
+    async def dial_forever() -> None:
+        while True:
+            with contextlib.suppress(exceptions.LinkClosedError):
+                async with _link(connection):
+                    await asyncio.sleep(1)
+                    asyncio.get_running_loop().call_soon(dialling.cancel)
+                    raise exceptions.LinkClosedError("closed")
+            await asyncio.sleep(10)
+
+    dialling = asyncio.create_task(dial_forever())
+    await asyncio.wait([dialling], timeout=5)
+    assert dialling.cancelled()
