Acknowledge results before an entry exits

Cause: an entry that stopped never acknowledged the last results of its agents. An agent that was being stopped meanwhile still owed them and waited AWAY_S (10 s) after the loss of the link. Ruled out: results lost (all were taken in; only the acknowledgement, which travels with heartbeats, was missing). AgentLinks.seal forgets its requests when the recovery is cancelled; the futures were kept before.

--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -69,6 +69,13 @@
             if worker.link is not None:
                 worker.link.post(message)
 
+    async def acknowledge_results(self) -> None:
+        """Acknowledge at once what all agents reported, as one that is being stopped waits for that."""
+        linked = [(worker, worker.link) for worker in self._linked_workers() if worker.link is not None]
+        for worker, link in linked:
+            link.post(worker.heartbeat(0))
+        await wire.Link.drain(link for _, link in linked)
+
     def broadcast_configuration(self) -> None:
         """Tell all linked agents their part of the configuration in force."""
         for dispatcher in self._service.dispatchers:
@@ -86,10 +93,12 @@
             replies.append(request)
             worker.link.post(wire.Seal(request, job_id.session, job_id.number))
         futures = [self._seal_replies[request] for request in replies]
-        if futures:
-            await asyncio.wait(futures, timeout=SEAL_REPLY_S)
-        for request in replies:
-            del self._seal_replies[request]
+        try:
+            if futures:
+                await asyncio.wait(futures, timeout=SEAL_REPLY_S)
+        finally:  # a caller that disconnects cancels the recovery
+            for request in replies:
+                del self._seal_replies[request]
         return [future.result() for future in futures if future.done()]
 
     def _post_configuration(self, workspace: ids.WorkspaceName, worker: dispatch.RemoteWorker) -> None:
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -209,6 +209,7 @@
             await asyncio.sleep(DRAIN_CHECK_S)
         successor = await self._peers.hand_over(self._service.hand_over_sessions())
         name = successor.name if successor is not None else "none"
+        await self._agents.acknowledge_results()
         self._events.record_state("sessions_handed_over", successor=name, sessions=len(self._service.sessions))
 
     async def _sweep_forever(self) -> None:
--- a/src/cactusgauge/entry/peer_links.py
+++ b/src/cactusgauge/entry/peer_links.py
@@ -18,7 +18,6 @@
 DIAL_CHECK_S = 0.5
 HAND_OVER_PART_BYTES = 1024 * 1024
 HAND_OVER_TIMEOUT_S = 5.0
-DRAIN_TIMEOUT_S = 1.0
 
 
 class PeerLinks:
@@ -96,16 +95,10 @@
                 continue
             for owner in by_owner:
                 self.broadcast(wire.HandOverDone(owner, successor.incarnation))
-            await self._drain_links()
+            await wire.Link.drain(links[-1] for links in self._links.values())
             return successor
         return None
 
-    async def _drain_links(self) -> None:
-        drains = [links[-1].drain() for links in self._links.values()]
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_TIMEOUT_S):
-                await asyncio.gather(*drains)
-
     async def _dial_forever(self, url: str) -> None:
         while True:
             with contextlib.suppress(
--- a/tests/unit/agent/test_start_controller.py
+++ b/tests/unit/agent/test_start_controller.py
@@ -56,6 +56,22 @@
     assert drains[0].done()
 
 
+def test_entry_that_stops_acknowledges_first(world: conftest.World) -> None:
+    """Guards against an agent whose planned stop waits AWAY_S for an entry that was stopped as well."""
+    world.call(lambda: world.entries[0].submit(1))
+    world.deliver_all()
+    drains = _drain(world)
+    world.call(lambda: world.running[0].end(COMPLETED))
+    world.deliver_all()
+    world.advance(1.0)
+    assert not drains[0].done()
+    stops: list[asyncio.Task[None]] = []
+    world.call(lambda: stops.append(asyncio.create_task(world.entries[0].agents.acknowledge_results())))
+    world.deliver_all()
+    world.advance(1.0)
+    assert stops[0].done() and drains[0].done()
+
+
 def test_drain_takes_no_new_work(world: conftest.World) -> None:
     """Guards against starts during a planned stop; what is refused ran nowhere."""
     world.call(lambda: world.entries[0].submit(1))
--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -57,6 +57,11 @@
         """Never silent: the test closes links instead."""
         return False
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether nothing is in transit."""
+        return not self.in_transit
+
     def set_active(self, active: bool) -> None:
         """Ignore the activity, which only paces heartbeats."""
 
