Close connections that are accepted during the shutdown of the HTTP server

uvicorn asks the connections it knows to close once and then waits for all of them without a bound. A connection that the event loop had accepted just before the listener was closed is added after that: it stays open as long as its client uses it, such as a backend server that renews its lease over it, and the planned stop never ends.

--- a/src/cactusgauge/http_server.py
+++ b/src/cactusgauge/http_server.py
@@ -1,19 +1,22 @@
 """Runs a falcon application on uvicorn inside a daemon."""
 
+import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvicorn
 
 from cactusgauge import exceptions
 
 if TYPE_CHECKING:
+    import socket
     from collections import abc
 
     import falcon.asgi
 
 BACKLOG = 2048
 KEEP_ALIVE_S = 30
+CLOSE_CHECK_S = 0.1
 
 
 class HttpServer(uvicorn.Server):
@@ -50,3 +53,20 @@
     def stop(self) -> None:
         """Stop accepting connections and return from `run_until_stopped` once open requests are answered."""
         self.should_exit = True
+
+    async def shutdown(self, sockets: "list[socket.socket] | None" = None) -> None:
+        """Close the listener, let open requests end and close all connections."""
+        # uvicorn closes the connections that it knows now; one that is being accepted would stay open as long as its
+        # client uses it, and the shutdown waits for every connection.
+        closing = asyncio.create_task(self._close_new_connections(set(self.server_state.connections)))
+        try:
+            await super().shutdown(sockets)
+        finally:
+            closing.cancel()
+
+    async def _close_new_connections(self, known: set[Any]) -> None:
+        while True:
+            for connection in self.server_state.connections - known:
+                connection.shutdown()
+                known.add(connection)
+            await asyncio.sleep(CLOSE_CHECK_S)
