Compare the accounts of agents with the workers' usage reports

The audit compared an entry's account with an agent's. Both may belong to the same owner, who could inflate both alike, and nothing else on the log contradicted them.

The platform's usage reports are now read as a third account (stream `usage-reports`, `UsageReport`), and the emulated backend server writes them. An agent's counters must also cover its pairs, so that the billed counts are tied to the reports. Exports hold both streams; each line names its stream.

Found on the way: a record that waits through an outage keeps the time at which it was made. `Audit` took that time as a proof that the log accepted appends then, and reported `missing` for an agent that was killed at the end of an outage. `AccountBook.append_times` leaves such records out; a new test in test_audit.py shows the case.

`test_log_outage_loses_and_doubles_nothing` names the rows of the records exactly as before; the agent of the test now counts its starts and slot-seconds, so there are three.

--- a/src/cactusgauge/accounting/__init__.py
+++ b/src/cactusgauge/accounting/__init__.py
@@ -8,7 +8,10 @@
 from cactusgauge.accounting.cost_split import split_cost
 from cactusgauge.accounting.file_account_log import FileAccountLog
 from cactusgauge.accounting.pair_account import PairAccount, PairTotals
+from cactusgauge.accounting.report_book import ReportBook
 from cactusgauge.accounting.usage import Usage, WorkspaceUsage
+from cactusgauge.accounting.usage_report import REPORT_STREAM, UsageReport
+from cactusgauge.accounting.worker_audit import WorkerAudit
 
 __all__ = [
     "AccountBook",
@@ -25,9 +28,13 @@
     "PairAccount",
     "PairTotals",
     "Period",
+    "REPORT_STREAM",
+    "ReportBook",
     "STREAM",
     "Snapshot",
     "Usage",
+    "UsageReport",
+    "WorkerAudit",
     "WorkspaceUsage",
     "make_bill",
     "read_stream",
--- a/src/cactusgauge/accounting/account_book.py
+++ b/src/cactusgauge/accounting/account_book.py
@@ -12,6 +12,8 @@
 
 
 READ_RECORDS = 500
+# A record that waited for the log longer than this has a successor that is further away.
+PROMPT_INTERVALS = 2
 
 
 class FindingKind(enum.Enum):
@@ -26,13 +28,16 @@
     MISMATCH = "mismatch"
     IMPOSSIBLE = "impossible"
     MISSING = "missing"
+    OVERCLAIMED = "overclaimed"
+    UNACCOUNTED = "unaccounted"
     TRIMMED = "trimmed"
     UNFINISHED = "unfinished"
+    UNCONFIRMED = "unconfirmed"
 
     @property
     def is_open(self) -> bool:
         """Whether a fault of the kind that must be survived explains it."""
-        return self in (FindingKind.TRIMMED, FindingKind.UNFINISHED)
+        return self in (FindingKind.TRIMMED, FindingKind.UNFINISHED, FindingKind.UNCONFIRMED)
 
 
 class Finding(NamedTuple):
@@ -66,13 +71,13 @@
         return self.records[0].sequence > 1
 
 
-async def read_stream(log: "platform.LogService") -> "list[platform.LogRecord]":
-    """Return all retained records of the accounting stream; raise `LogServiceError` if the log does not answer."""
+async def read_stream(log: "platform.LogService", stream: str) -> "list[platform.LogRecord]":
+    """Return all retained records of a stream; raise `LogServiceError` if the log does not answer."""
     entries: list[platform.LogRecord] = []
-    page = await log.read(account_record.STREAM, 0, READ_RECORDS)
+    page = await log.read(stream, 0, READ_RECORDS)
     while page.records:
         entries += page.records
-        page = await log.read(account_record.STREAM, page.records[-1].offset + 1, READ_RECORDS)
+        page = await log.read(stream, page.records[-1].offset + 1, READ_RECORDS)
     return entries
 
 
@@ -97,13 +102,27 @@
     @classmethod
     async def read(cls, log: "platform.LogService") -> "AccountBook":
         """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
-        return cls(await read_stream(log))
+        return cls(await read_stream(log, account_record.STREAM))
 
     @property
     def chains(self) -> dict[str, Chain]:
         """The chains by incarnation."""
         return self._chains
 
+    @property
+    def append_times(self) -> list[float]:
+        """Times at which the log accepted records.
+
+        The time of a record that waited through an outage is no such time, and is left out. So is that of the last
+        record of each process, of which nothing tells whether it waited.
+        """
+        return sorted(
+            before.at_s
+            for chain in self._chains.values()
+            for before, after in itertools.pairwise(chain.records)
+            if after.at_s - before.at_s <= PROMPT_INTERVALS * before.interval_s
+        )
+
     @property
     def is_trimmed(self) -> bool:
         """Whether the log no longer holds the beginning of the stream."""
--- a/src/cactusgauge/accounting/audit.py
+++ b/src/cactusgauge/accounting/audit.py
@@ -68,7 +68,7 @@
     def __init__(self, book: account_book.AccountBook) -> None:
         self._book = book
         self._findings = list(book.findings)
-        self._append_times = sorted(record.at_s for chain in book.chains.values() for record in chain.records)
+        self._append_times = book.append_times
         for entry, agent in self._pairs():
             for kind in MESSAGE_KINDS:
                 self._compare(kind, entry, agent)
--- /dev/null
+++ b/src/cactusgauge/accounting/cumulative_series.py
@@ -0,0 +1,68 @@
+"""Cumulative counts over time."""
+
+import bisect
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections import abc
+
+
+class Point(NamedTuple):
+    """Cumulative counts at a time; of `unknown` starts it is not known whether they ran."""
+
+    at_s: float
+    starts: int = 0
+    unknown: int = 0
+    slot_seconds: float = 0.0
+
+
+class CumulativeSeries:
+    """Sum of the counts of several incarnations, each of which begins at zero."""
+
+    def __init__(self, incarnations: "abc.Iterable[abc.Iterable[Point]]") -> None:
+        runs = [sorted(points) for points in incarnations]
+        self._runs = [(run, [point.at_s for point in run]) for run in runs if run]
+        newest: dict[int, Point] = {}
+        self._points: list[Point] = []
+        total = Point(0.0)
+        for point, index in sorted((point, index) for index, (run, _) in enumerate(self._runs) for point in run):
+            before = newest.get(index, Point(0.0))
+            newest[index] = point
+            changes = (now + new - old for now, new, old in zip(total[1:], point[1:], before[1:], strict=True))
+            total = Point(point.at_s, *changes)  # type: ignore[arg-type]
+            self._points.append(total)
+
+    @property
+    def points(self) -> list[Point]:
+        """The sums at the time of each point."""
+        return self._points
+
+    def until(self, at_s: float) -> Point:
+        """Return the sum of the last points that are not later: no more than what was counted by then."""
+        found = [run[index - 1] for run, times in self._runs if (index := bisect.bisect_right(times, at_s))]
+        return self._sum(at_s, found)
+
+    def since(self, at_s: float) -> Point | None:
+        """Return the sum of the first points that are not earlier, so no less than was counted by then.
+
+        The last point stands for an incarnation that ended before; the answer is None if all did.
+        """
+        indexes = [bisect.bisect_left(times, at_s) for _, times in self._runs]
+        found = [run[min(index, len(run) - 1)] for (run, _), index in zip(self._runs, indexes, strict=True)]
+        newest_s = max((point.at_s for point in found), default=at_s - 1)
+        return self._sum(newest_s, found) if newest_s >= at_s else None
+
+    def growth(self, from_s: float, to_s: float) -> int:
+        """Return an upper bound of the starts between two times."""
+        if not self._points:
+            return 0
+        return (self.since(to_s) or self._points[-1]).starts - self.until(from_s).starts
+
+    @staticmethod
+    def _sum(at_s: float, points: list[Point]) -> Point:
+        return Point(
+            at_s,
+            sum(point.starts for point in points),
+            sum(point.unknown for point in points),
+            sum(point.slot_seconds for point in points),
+        )
--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -26,7 +26,7 @@
     "records_path",
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
     metavar="FILE",
-    help="Exported accounting stream that is read instead of the log.",
+    help="Exported accounting streams that are read instead of the log.",
 )
 
 
@@ -62,9 +62,10 @@
     The shared cost is split in proportion to the task messages (assigns and results), which the records of both sides
     confirm. `audit --bill` verifies what --json prints.
     """
-    records = _read(log_url, records_path)
+    records, reports = _read(log_url, records_path)
     if export is not None:
-        export.writelines(map(accounting.FileAccountLog.format_line, records))
+        for stream, entries in ((accounting.STREAM, records), (accounting.REPORT_STREAM, reports)):
+            export.writelines(accounting.FileAccountLog.format_line(stream, entry) for entry in entries)
     bill = accounting.make_bill(accounting.AccountBook(records), _period(since, until), cents)
     if as_json:
         click.echo(bill.model_dump_json())
@@ -88,11 +89,14 @@
 ) -> None:
     """Verify the accounting records and, with --bill, a bill, from the log alone.
 
+    The accounts of entries and agents are compared with each other and with the usage reports of the workers.
     A violation is what no fault explains; an open finding may be the effect of one and has a bound. Exit code 0 means
     that there are no violations, 1 that there are some.
     """
-    book = accounting.AccountBook(_read(log_url, records_path))
-    findings = accounting.Audit(book).findings
+    records, reports = _read(log_url, records_path)
+    book = accounting.AccountBook(records)
+    worker_audit = accounting.WorkerAudit(book, accounting.ReportBook(reports))
+    findings = accounting.Audit(book).findings + worker_audit.findings
     differences = _compare_bill(book, bill_path) if bill_path is not None else []
     violations = [finding for finding in findings if not finding.kind.is_open]
     if as_json:
@@ -103,16 +107,21 @@
     sys.exit(exit_codes.FAILED if violations or differences else exit_codes.COMPLETE)
 
 
-def _read(log_url: str | None, path: pathlib.Path | None) -> list[platform.LogRecord]:
-    async def read_log(url: str) -> list[platform.LogRecord]:
+def _read(log_url: str | None, path: pathlib.Path | None) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
+    async def read_log(url: str) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
         async with aiohttp.ClientSession() as session:
-            return await accounting.read_stream(platform.HttpLogService(session, url))
+            return await read_streams(platform.HttpLogService(session, url))
+
+    async def read_streams(log: platform.LogService) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
+        # The reports first: records made meanwhile leave the newest reports not yet due for a comparison.
+        reports = await accounting.read_stream(log, accounting.REPORT_STREAM)
+        return await accounting.read_stream(log, accounting.STREAM), reports
 
     if path is None and log_url is None:
         raise click.UsageError("give --log-url or --records")
     try:
         if path is not None:
-            return asyncio.run(accounting.read_stream(accounting.FileAccountLog(path)))
+            return asyncio.run(read_streams(accounting.FileAccountLog(path)))
         return asyncio.run(read_log(str(log_url)))
     except exceptions.LogServiceError as error:
         raise click.UsageError(str(error)) if path is not None else click.ClickException(str(error)) from error
--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -14,16 +14,19 @@
 import random
 import signal
 import time
+import uuid
 from typing import Any, NamedTuple
 
 import aiohttp
 import click
 import falcon.asgi
 
-from cactusgauge import http_server
+from cactusgauge import accounting, exceptions, http_server, platform
 from cactusgauge.agent import backend_server_resource, task_runner
 
 RENEW_S = 0.5
+REPORT_RETRY_S = 0.2
+LAST_REPORT_TIMEOUT_S = 5.0
 MILLISECONDS_PER_SECOND = 1000
 DROP_HEADER = "Emulator-Drop"
 DROPPED_LENGTH = "1000"  # more than is sent, so that the client sees a broken answer
@@ -61,6 +64,7 @@
         self._ended: dict[str, str] = {}
         self._running = 0
         self._max_running = 0
+        self._slot_seconds = 0.0
         self._journal = os.open(journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600) if journal else None
         self._announcing = Announcing.RENEW
         self.lease = ""
@@ -79,6 +83,7 @@
             "running": self._running,
             "max_running": self._max_running,
             "slots": self._slots,
+            "slot_seconds": self._slot_seconds,
         }
 
     def write_journal(self, event: str, task: str = "") -> None:
@@ -101,9 +106,11 @@
         self._running += 1
         self._max_running = max(self._max_running, self._running)
         self.write_journal("start", task_id)
+        began = time.monotonic()
         try:
             await self._run(task_id, body, response)
         finally:
+            self._slot_seconds += time.monotonic() - began
             self._running -= 1
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
@@ -133,6 +140,72 @@
             response.set_header(DROP_HEADER, "1")
 
 
+class ReportOptions(NamedTuple):
+    """Where the usage reports go and when."""
+
+    log_url: str
+    worker: str
+    workspace: str
+    interval_s: float
+    lag_s: float
+
+
+class UsageReporter:
+    """Appends the usage reports that the platform makes about a worker."""
+
+    def __init__(self, server: BackendServer, log: platform.LogService, options: ReportOptions) -> None:
+        self._server = server
+        self._log = log
+        self._options = options
+        self._incarnation = uuid.uuid4().hex
+        self._pending: collections.deque[accounting.UsageReport] = collections.deque()
+        self._sequence = 0
+
+    async def open(self) -> None:
+        """Append the first report; until then the server runs nothing."""
+        self._take(final=False)
+        await self._append_due(0.0)
+
+    async def run(self) -> None:
+        """Take a report every interval and append it after the lag."""
+        while True:
+            await asyncio.sleep(self._options.interval_s)
+            self._take(final=False)
+            await self._append_due(self._options.lag_s)
+
+    async def close(self) -> None:
+        """Append what is left; give up after LAST_REPORT_TIMEOUT_S."""
+        self._take(final=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_REPORT_TIMEOUT_S):
+                await self._append_due(0.0)
+
+    def _take(self, final: bool) -> None:
+        seen = self._server.report()
+        self._sequence += 1
+        self._pending.append(
+            accounting.UsageReport(
+                worker=self._options.worker,
+                workspace=self._options.workspace,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                to_s=time.time(),
+                slots=seen["slots"],
+                starts=sum(seen["starts"].values()),
+                slot_seconds=seen["slot_seconds"],
+                final=final,
+            )
+        )
+
+    async def _append_due(self, lag_s: float) -> None:
+        while self._pending and self._pending[0].to_s + lag_s <= time.time():
+            try:
+                await self._log.append(accounting.REPORT_STREAM, self._pending[0].encode())
+                self._pending.popleft()
+            except exceptions.LogServiceError:
+                await asyncio.sleep(REPORT_RETRY_S)
+
+
 class DroppingApp(falcon.asgi.App[falcon.asgi.Request, falcon.asgi.Response]):
     """Breaks off the answers that are marked with DROP_HEADER; the HTTP server then closes the connection."""
 
@@ -186,7 +259,13 @@
 
 
 async def _serve(
-    server: BackendServer, name: str, host: str, port: int, announced_port: int | None, agent_url: str
+    server: BackendServer,
+    name: str,
+    host: str,
+    port: int,
+    announced_port: int | None,
+    agent_url: str,
+    reports: ReportOptions | None,
 ) -> None:
     app = DroppingApp()
     app.add_route("/task", server)
@@ -196,14 +275,25 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     serving = asyncio.create_task(listener.run_until_stopped())
     task_url = f"http://{host}:{announced_port or port}/task"
-    announcing = asyncio.create_task(_announce(server, name, task_url, agent_url))
-    await stop.wait()
-    announcing.cancel()
-    await asyncio.gather(announcing, return_exceptions=True)
-    while server.report()["running"]:
-        await asyncio.sleep(0.05)
-    listener.stop()
-    await serving
+    async with contextlib.AsyncExitStack() as stack:
+        reporter = None
+        background = []
+        if reports is not None:
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            reporter = UsageReporter(server, platform.HttpLogService(session, reports.log_url), reports)
+            await reporter.open()
+            background.append(asyncio.create_task(reporter.run()))
+        background.append(asyncio.create_task(_announce(server, name, task_url, agent_url)))
+        await stop.wait()
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+        while server.report()["running"]:
+            await asyncio.sleep(0.05)
+        listener.stop()
+        await serving
+        if reporter is not None:
+            await reporter.close()
 
 
 @click.command()
@@ -215,6 +305,11 @@
 @click.option("--speed", type=float, default=1.0, show_default=True, help="Run times are divided by this.")
 @click.option("--slots", type=int, default=8, show_default=True, help="Limit that the report is compared with.")
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--log-url", help="URL of the platform's log, to which usage reports are appended.")
+@click.option("--worker", help="Name of the agent beside this server, for the usage reports.")
+@click.option("--workspace", default="cheese", show_default=True, help="Workspace in the usage reports.")
+@click.option("--report-interval-s", type=float, default=10.0, show_default=True)
+@click.option("--report-lag-s", type=float, default=30.0, show_default=True, help="Delay of the usage reports.")
 @click.option("--journal", help="File that records starts, ends and changes of the announcements.")
 @click.option("--fail", type=float, default=0.0, help="Probability that a task fails at once.")
 @click.option("--drop", type=float, default=0.0, help="Probability that the answer is dropped after the run.")
@@ -229,6 +324,11 @@
     speed: float,
     slots: int,
     seed: int,
+    log_url: str | None,
+    worker: str | None,
+    workspace: str,
+    report_interval_s: float,
+    report_lag_s: float,
     journal: str | None,
     fail: float,
     drop: float,
@@ -237,7 +337,8 @@
 ) -> None:
     """Run a backend server stand-in."""
     server = BackendServer(name, speed, slots, seed, Faults(fail, drop, refuse, straggle), journal)
-    asyncio.run(_serve(server, name, host, port, announced_port, agent_url))
+    reports = ReportOptions(log_url, worker or name, workspace, report_interval_s, report_lag_s) if log_url else None
+    asyncio.run(_serve(server, name, host, port, announced_port, agent_url, reports))
 
 
 if __name__ == "__main__":
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -158,10 +158,13 @@
         return self._start_daemon(name, document)
 
     def start_backend_server(self, name: str, agent: str, *options: str, networked: bool = False) -> ProcessHandle:
-        """Start a backend server stand-in beside an agent, on request behind `network`."""
+        """Start a backend server stand-in beside an agent, on request behind `network`.
+
+        It appends usage reports if `options` give it the URL of the log.
+        """
         port = free_port()
         arguments = ["--name", name, "--port", str(port), "--agent-url", self._handles[agent].http_url]
-        arguments += ["--journal", str(self._journal(name))]
+        arguments += ["--journal", str(self._journal(name)), "--worker", agent, "--workspace", self._workspace]
         if networked:
             arguments += ["--announced-port", str(self._network.listen(name, port))]
         command = [sys.executable, "-m", "emulator.backend_server", *arguments, *options]
--- a/tests/unit/accounting/test_audit.py
+++ b/tests/unit/accounting/test_audit.py
@@ -8,11 +8,6 @@
 Kind = accounting.FindingKind
 
 
-@pytest.fixture
-def world(monkeypatch: pytest.MonkeyPatch) -> world_module.World:
-    return world_module.World(monkeypatch)
-
-
 def kinds(findings: list[accounting.Finding]) -> set[accounting.FindingKind]:
     return {finding.kind for finding in findings}
 
@@ -150,7 +145,8 @@
     used = await world.usage()
     assert (used.starts, used.slot_seconds, used.task_messages) == (45, 4.5, 18)
     book = await accounting.AccountBook.read(world.log)
-    assert {row.name for chain in book.chains.values() for row in chain.last.rows} == {"tasks_sent"}
+    names = {row.name for chain in book.chains.values() for row in chain.last.rows}
+    assert names == {"tasks_sent", "tasks_started", "slot_seconds"}
 
 
 async def test_stop_during_an_outage_is_bounded_and_explained(
@@ -170,6 +166,21 @@
     assert "the log was down" in found[0].explanation
 
 
+async def test_process_killed_at_the_end_of_an_outage_is_explained(world: world_module.World) -> None:
+    """Guards against records that waited through an outage being taken for a proof that there was none."""
+    await run(world)
+    world.log.faults = memory_log.LogFaults(unavailable=True)
+    await world.append(world.agent)
+    await run(world, 6)
+    world.log.faults = memory_log.LogFaults()
+    await world.agent.writer._append_pending()
+    for _ in range(3):
+        await world.append(world.entry)
+    found = await world.audit()
+    assert kinds(found) == {Kind.UNFINISHED}
+    assert all("the log was down" in finding.explanation for finding in found)
+
+
 async def test_trimmed_records_leave_a_bound_instead_of_a_wrong_bill(world: world_module.World) -> None:
     """Guards against a period being billed from its beginning when the log no longer holds it."""
     await run(world, 6)
--- a/tests/unit/accounting/world.py
+++ b/tests/unit/accounting/world.py
@@ -45,6 +45,8 @@
     def __init__(self, world: "World", name: str, role: str, peer: str) -> None:
         self.account = accounting.PairAccount()
         self.inflated_starts = 0
+        self.inflates_rows = True
+        self._role = role
         self._peer = peer
         events = observability.EventRing(name)
         incarnation = f"{name}-incarnation"
@@ -54,10 +56,17 @@
 
     def _snapshot(self) -> accounting.Snapshot:
         totals = self.account.totals(f"{self._peer}-incarnation", self._peer, "cheese")
-        totals = totals._replace(starts=totals.starts + self.inflated_starts)
-        return accounting.Snapshot(
-            [("tasks_sent", "cheese", "", totals.starts), ("jobs_complete", "", "", 9)], [totals]
-        )
+        extra = self.inflated_starts
+        run_us = totals.run_us + extra * 100_000
+        totals = totals._replace(starts=totals.starts + extra, outcomes=totals.outcomes + extra, run_us=run_us)
+        rows: list[tuple[str, str, str, float]] = [
+            ("tasks_sent", "cheese", "", totals.starts),
+            ("jobs_complete", "", "", 9),
+        ]
+        if self._role == "agent":
+            started = totals.starts - (0 if self.inflates_rows else extra)
+            rows += [("tasks_started", "cheese", "", started), ("slot_seconds", "cheese", "", run_us / 1e6)]
+        return accounting.Snapshot(rows, [totals])
 
 
 class World:
@@ -70,11 +79,15 @@
         self.log = EditableLog()
         self.entry = Process(self, "entry", "entry", "agent")
         self.agent = Process(self, "agent", "agent", "entry")
+        self.server = "server-incarnation"
         self._number = 0
+        self._reports: dict[str, accounting.UsageReport] = {}
+        self._worker_starts = 0
 
     def run_tasks(self, count: int, run_ms: float = 100.0, acknowledged: bool = True) -> None:
         """Run tasks in one assign and one results message."""
         self._number += 1
+        self._worker_starts += count
         outcomes = [wire.Outcome("s", 1, task, "completed", "", b"", run_ms) for task in range(count)]  # type: ignore[arg-type]
         self.agent.account.count_assign(self._number, count)
         if acknowledged:
@@ -93,6 +106,38 @@
         for process in processes or (self.entry, self.agent):
             await process.writer.close()
 
+    def report(self, final: bool = False) -> accounting.UsageReport:
+        """Take the worker's usage report, which `self.log` gets when the test appends it."""
+        before = self._reports.get(self.server)
+        starts = self._worker_starts
+        self._worker_starts = 0
+        self._reports[self.server] = accounting.UsageReport(
+            worker="agent",
+            workspace="cheese",
+            incarnation=self.server,
+            sequence=before.sequence + 1 if before else 1,
+            to_s=self.now_s,
+            slots=8,
+            starts=starts + (before.starts if before else 0),
+            slot_seconds=starts * 0.1 + (before.slot_seconds if before else 0),
+            final=final,
+        )
+        return self._reports[self.server]
+
+    def kill_server(self) -> None:
+        """End the worker's server without a last report; another one takes its place."""
+        self.server += "-next"
+        self._worker_starts = 0
+
+    async def append_report(self, report: accounting.UsageReport | None = None) -> None:
+        """Append a usage report of the worker, by default of now."""
+        await self.log.append(accounting.REPORT_STREAM, (report or self.report()).encode())
+
+    async def audit_worker(self) -> list[accounting.Finding]:
+        """Compare the agent's records with the usage reports."""
+        book = await accounting.AccountBook.read(self.log)
+        return accounting.WorkerAudit(book, await accounting.ReportBook.read(self.log)).findings
+
     async def audit(self) -> list[accounting.Finding]:
         """Audit what is on the log."""
         return accounting.Audit(await accounting.AccountBook.read(self.log)).findings
--- a/tests/unit/console/test_account_commands.py
+++ b/tests/unit/console/test_account_commands.py
@@ -26,7 +26,7 @@
 
 def export(world: world_module.World, path: pathlib.Path) -> str:
     records = [platform.LogRecord(offset, data) for offset, data in enumerate(world.log.records)]
-    path.write_bytes(b"".join(map(accounting.FileAccountLog.format_line, records)))
+    path.write_bytes(b"".join(accounting.FileAccountLog.format_line(accounting.STREAM, each) for each in records))
     return str(path)
 
 
