Read the accounting streams page by page

`usage` and `audit` kept every record of the stream, about 20 KB of memory for each. A record is now compared with the one before it in its chain when it is read. `Chain` keeps the newest record, each change of a pair's counts with the times of the first and the last record that show it, the agent's counts likewise, the rows at the ends of the billed period, and 8 bytes of hash for each record, by which a late repetition is told from a conflicting record. Times of appends are kept in whole seconds. An export is read and written page by page, too.

A record that stands behind later ones of its process, in a gap of the chain, was put in its place before and is now a `broken_chain`: a process makes a record only after the one before was accepted.

--- a/src/cactusgauge/accounting/__init__.py
+++ b/src/cactusgauge/accounting/__init__.py
@@ -1,10 +1,11 @@
 """Accounting: records of consumption on the platform log, bills and their audit."""
 
-from cactusgauge.accounting.account_book import AccountBook, Chain, Finding, FindingKind, read_stream
+from cactusgauge.accounting.account_book import AccountBook, Finding, FindingKind, read_stream
 from cactusgauge.accounting.account_record import STREAM, AccountRecord, CounterRow
 from cactusgauge.accounting.account_writer import DEFAULT_INTERVAL_S, AccountWriter, Snapshot
 from cactusgauge.accounting.audit import Audit
 from cactusgauge.accounting.bill import Bill, Period, make_bill
+from cactusgauge.accounting.chain import Chain
 from cactusgauge.accounting.cost_split import split_cost
 from cactusgauge.accounting.file_account_log import FileAccountLog
 from cactusgauge.accounting.pair_account import PairAccount, PairTotals
--- a/src/cactusgauge/accounting/account_book.py
+++ b/src/cactusgauge/accounting/account_book.py
@@ -1,13 +1,15 @@
 """The accounting records of all processes, as read from the log."""
 
 import enum
-import itertools
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from cactusgauge import exceptions
-from cactusgauge.accounting import account_record
+from cactusgauge.accounting import account_record, chain
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge import platform
 
 
@@ -52,119 +54,113 @@
     explanation: str = ""
 
 
-class Chain(NamedTuple):
-    """The intact records of one incarnation by sequence number; the first ones may have been trimmed."""
-
-    process: str
-    role: str
-    incarnation: str
-    records: list[account_record.AccountRecord]
-
-    @property
-    def last(self) -> account_record.AccountRecord:
-        """The newest record."""
-        return self.records[-1]
-
-    @property
-    def starts_late(self) -> bool:
-        """Whether the first records are not there."""
-        return self.records[0].sequence > 1
-
-
-async def read_stream(log: "platform.LogService", stream: str) -> "list[platform.LogRecord]":
-    """Return all retained records of a stream; raise `LogServiceError` if the log does not answer."""
-    entries: list[platform.LogRecord] = []
+async def read_stream(log: "platform.LogService", stream: str) -> "abc.AsyncIterator[platform.LogRecord]":
+    """Yield all retained records of a stream; raise `LogServiceError` if the log does not answer."""
     page = await log.read(stream, 0, READ_RECORDS)
     while page.records:
-        entries += page.records
+        for record in page.records:
+            yield record
         page = await log.read(stream, page.records[-1].offset + 1, READ_RECORDS)
-    return entries
 
 
 class AccountBook:
-    """Chains of records and the findings about the records themselves."""
+    """Chains of records and the findings about the records themselves.
+
+    A record is compared with the one before it in its chain and not kept. `boundaries` are the ends of the period for
+    which the usage is wanted.
+    """
 
-    def __init__(self, entries: "list[platform.LogRecord]") -> None:
-        self._is_trimmed = bool(entries) and entries[0].offset > 0
+    def __init__(self, boundaries: "abc.Iterable[float]" = (-math.inf, math.inf)) -> None:
+        self._boundaries = tuple(boundaries)
+        self._is_trimmed: bool | None = None
         self._findings: list[Finding] = []
         self._damaged: set[tuple[str, int]] = set()
-        self._records: dict[str, dict[int, account_record.AccountRecord]] = {}
-        for entry in entries:
-            self._add(entry)
-        self._chains = {
-            incarnation: Chain(records[min(records)].process, records[min(records)].role, incarnation, ordered)
-            for incarnation, records in self._records.items()
-            if (ordered := [records[sequence] for sequence in sorted(records)])
-        }
-        for chain in self._chains.values():
-            self._check(chain)
+        self._chains: dict[str, chain.Chain] = {}
+        self._append_seconds: set[int] = set()
 
     @classmethod
-    async def read(cls, log: "platform.LogService") -> "AccountBook":
+    async def read(
+        cls, log: "platform.LogService", boundaries: "abc.Iterable[float]" = (-math.inf, math.inf)
+    ) -> "AccountBook":
         """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
-        return cls(await read_stream(log, account_record.STREAM))
+        book = cls(boundaries)
+        async for entry in read_stream(log, account_record.STREAM):
+            book.add(entry)
+        return book
 
     @property
-    def chains(self) -> dict[str, Chain]:
+    def chains(self) -> "dict[str, chain.Chain]":
         """The chains by incarnation."""
         return self._chains
 
     @property
-    def append_times(self) -> list[float]:
-        """Times at which the log accepted records.
+    def append_times(self) -> list[int]:
+        """Times, in whole seconds, at which the log accepted records.
 
         The time of a record that waited through an outage is no such time, and is left out. So is that of the last
         record of each process, of which nothing tells whether it waited.
         """
-        return sorted(
-            before.at_s
-            for chain in self._chains.values()
-            for before, after in itertools.pairwise(chain.records)
-            if after.at_s - before.at_s <= PROMPT_INTERVALS * before.interval_s
-        )
+        return sorted(self._append_seconds)
 
     @property
     def is_trimmed(self) -> bool:
         """Whether the log no longer holds the beginning of the stream."""
-        return self._is_trimmed
+        return bool(self._is_trimmed)
 
     @property
     def findings(self) -> list[Finding]:
         """What is wrong with the records themselves."""
         return self._findings
 
-    def _add(self, entry: "platform.LogRecord") -> None:
+    def add(self, entry: "platform.LogRecord") -> None:
+        """Take the next record of the stream."""
+        if self._is_trimmed is None:
+            self._is_trimmed = entry.offset > 0
         try:
             record, is_intact = account_record.AccountRecord.decode(entry.data)
         except exceptions.AccountingError:
             message = f"the record at offset {entry.offset} is no accounting record"
             self._findings.append(Finding(FindingKind.MALFORMED, "", "", None, None, message))
             return
-        place = (record.incarnation, record.sequence)
+        known = self._chains.get(record.incarnation)
         if not is_intact:
-            self._damaged.add(place)
+            self._damaged.add((record.incarnation, record.sequence))
             message = f"record {record.sequence} does not fit its hash: it was changed after it was made"
             self._note(FindingKind.EDITED, record, message)
-            return
-        known = self._records.setdefault(record.incarnation, {}).setdefault(record.sequence, record)
-        if known != record:
+        elif known is None:
+            self._chains[record.incarnation] = chain.Chain(record, self._boundaries)
+            if record.sequence > 1 and (record.incarnation, record.sequence - 1) not in self._damaged:
+                self._note_missing(1, record)
+        elif record.sequence > known.last.sequence:
+            self._check(known.last, known.last_hash, record)
+            known.add(record)
+        else:
+            self._check_repeated(known, record)
+
+    def _check(
+        self, before: account_record.AccountRecord, before_hash: str, after: account_record.AccountRecord
+    ) -> None:
+        if after.sequence != before.sequence + 1:
+            gap = range(before.sequence + 1, after.sequence)
+            if any((after.incarnation, sequence) not in self._damaged for sequence in gap):
+                message = f"records {gap[0]} to {gap[-1]} are not on the log, though later ones are"
+                self._note(FindingKind.DROPPED, after, message, before.at_s)
+        elif after.previous != before_hash:
+            message = f"record {after.sequence} does not follow on record {before.sequence}"
+            self._note(FindingKind.BROKEN_CHAIN, after, message, before.at_s)
+        if after.at_s - before.at_s <= PROMPT_INTERVALS * before.interval_s:
+            self._append_seconds.add(math.floor(before.at_s))
+        self._check_growth(before, after)
+
+    def _check_repeated(self, known: "chain.Chain", record: account_record.AccountRecord) -> None:
+        is_equal = known.find_repeated(record)
+        if is_equal is None:
+            message = f"record {record.sequence} stands behind record {known.last.sequence}"
+            self._note(FindingKind.BROKEN_CHAIN, record, message)
+        elif not is_equal:
             message = f"two different records have the number {record.sequence}"
             self._note(FindingKind.CONFLICTING, record, message)
 
-    def _check(self, chain: Chain) -> None:
-        if chain.starts_late and (chain.incarnation, chain.records[0].sequence - 1) not in self._damaged:
-            self._note_missing(1, chain.records[0])
-        for before, after in itertools.pairwise(chain.records):
-            if after.sequence != before.sequence + 1:
-                gap = range(before.sequence + 1, after.sequence)
-                if any((chain.incarnation, sequence) not in self._damaged for sequence in gap):
-                    message = f"records {gap[0]} to {gap[-1]} are not on the log, though later ones are"
-                    self._note(FindingKind.DROPPED, after, message, before.at_s)
-            elif after.previous != before.hash:
-                message = f"record {after.sequence} does not follow on record {before.sequence}"
-                self._note(FindingKind.BROKEN_CHAIN, after, message, before.at_s)
-            self._check_growth(before, after)
-
     def _note_missing(self, first: int, record: account_record.AccountRecord) -> None:
         message = f"records {first} to {record.sequence - 1} are not on the log"
         if self._is_trimmed:
--- a/src/cactusgauge/accounting/audit.py
+++ b/src/cactusgauge/accounting/audit.py
@@ -16,9 +16,10 @@
 
 
 class View(NamedTuple):
-    """One side's counts of one kind of message at the time of a record."""
+    """One side's counts of one kind of message, with the times of the first and the last record that show them."""
 
-    at_s: float
+    first_s: float
+    last_s: float
     number: int
     counts: tuple[int, ...]
     is_final: bool
@@ -39,7 +40,7 @@
     @property
     def grew_at_s(self) -> float:
         """Time of the first view that shows the newest counts."""
-        return next(view.at_s for view in self.views if view.number == self.last.number)
+        return next(view.first_s for view in self.views if view.number == self.last.number)
 
 
 class MessageKind(NamedTuple):
@@ -104,7 +105,7 @@
             # What was not acknowledged in time is counted as dropped, though it may have arrived.
             message = f"{agent_side.name} gave up delivering {dropped} outcomes, so results cannot be compared"
             explanation = f"{entry_side.name} was out of reach for long; {sender.last.counts[0]} were acknowledged"
-            times = (sender.views[0].at_s, sender.last.at_s)
+            times = (sender.views[0].first_s, sender.last.last_s)
             self._note(account_book.FindingKind.UNFINISHED, sender, receiver, *times, message, explanation)
             return
         self._compare_counts(kind, sender, receiver)
@@ -122,7 +123,7 @@
         for (before, first), (after, second) in itertools.pairwise(merged):
             is_equal = before.counts == after.counts
             if before.number == after.number and first is not second and is_equal:
-                agreed_s = max(before.at_s, after.at_s)
+                agreed_s = max(before.last_s, after.first_s)
             if before.number == after.number and is_equal:
                 continue
             if before.number != after.number and all(map(int.__le__, before.counts, after.counts)):
@@ -134,7 +135,7 @@
             )
             numbers = f"{before.number}" if before.number == after.number else f"{before.number} and {after.number}"
             message = f"{kind.name} up to message {numbers}: {shown}"
-            self._note(account_book.FindingKind.MISMATCH, second, first, agreed_s, after.at_s, message)
+            self._note(account_book.FindingKind.MISMATCH, second, first, agreed_s, after.first_s, message)
             return
 
     def _explain_lead(self, kind: MessageKind, ahead: Side, behind: Side, is_acknowledged: bool) -> None:
@@ -143,7 +144,7 @@
             f"{behind.name} accounts for {kind.name} up to message {behind.last.number}, {ahead.name} up to "
             f"{ahead.last.number}: {amount} {kind.unit} stand in one account only"
         )
-        since_s, until_s = behind.last.at_s, ahead.grew_at_s
+        since_s, until_s = behind.last.last_s, ahead.grew_at_s
         if is_acknowledged and self._is_impossible(ahead, behind):
             message += f"; {behind.name} cannot have acknowledged these and still show less"
             self._note(account_book.FindingKind.IMPOSSIBLE, ahead, behind, since_s, until_s, message)
@@ -166,7 +167,7 @@
     def _compare_with_nothing(self, kind: MessageKind, there: Side, missing: Side) -> None:
         if not there.views or not there.last.number or not there.last.counts[0]:
             return
-        began_s = next(view.at_s for view in there.views if view.counts[0])
+        began_s = next(view.first_s for view in there.views if view.counts[0])
         message = f"{there.last.counts[0]} {kind.unit} stand only in the account of {there.name}"
         if there.grew_at_s - began_s <= self._kill_window_s(there, missing) or self._is_outage(
             began_s, there.grew_at_s
@@ -176,7 +177,7 @@
         else:
             explanation = f"only if the log was out of reach for {missing.name} alone"
             found = account_book.FindingKind.MISSING
-        self._note(found, missing, there, began_s, there.last.at_s, message, explanation)
+        self._note(found, missing, there, began_s, there.last.last_s, message, explanation)
 
     @staticmethod
     def _is_impossible(sender: Side, receiver: Side) -> bool:
@@ -184,7 +185,7 @@
         if receiver.last.is_final:
             return True
         return any(
-            late.at_s > view.at_s + CLOCK_SLACK_S and late.number < view.number
+            late.last_s > view.first_s + CLOCK_SLACK_S and late.number < view.number
             for view in sender.views
             for late in receiver.views
         )
@@ -203,14 +204,13 @@
             return Side(self._name(own, peer), [], 0.0)
         views = [
             View(
-                record.at_s,
-                getattr(pair, kind.number),
-                tuple(getattr(pair, name) for name in kind.counts),
-                record.final,
+                view.first_s,
+                view.last_s,
+                getattr(view.totals, kind.number),
+                tuple(getattr(view.totals, name) for name in kind.counts),
+                view.is_final,
             )
-            for record in chain.records
-            for pair in record.pairs
-            if pair.peer == peer
+            for view in chain.pairs.get(peer, [])
         ]
         return Side(f"{chain.process} ({own})", views, chain.last.interval_s)
 
--- /dev/null
+++ b/src/cactusgauge/accounting/chain.py
@@ -0,0 +1,158 @@
+"""What is kept of the records of one incarnation."""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from cactusgauge.accounting import cumulative_series, pair_account
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge.accounting import account_record
+
+DIGEST_BYTES = 8  # enough to tell a repeated record from another one with the same number
+IDENTITY_FIELDS = 3  # fields of `PairTotals` before the counts
+
+
+class PairView(NamedTuple):
+    """Counts that consecutive records show, the times of the first and the last, and whether that one is final."""
+
+    totals: pair_account.PairTotals
+    first_s: float
+    last_s: float
+    is_final: bool
+
+
+class Excess(NamedTuple):
+    """By how many starts a record's pairs exceed its counters, without and with refusals."""
+
+    answered: int
+    handled: int
+    at_s: float
+
+
+class Chain:
+    """The intact records of one incarnation, as they follow each other; the first ones may have been trimmed.
+
+    Only the newest record, changes of counts and the rows at `boundaries` are kept.
+    """
+
+    def __init__(self, first: "account_record.AccountRecord", boundaries: "abc.Iterable[float]") -> None:
+        self._first = first
+        self._last = first
+        self._last_hash = ""
+        self._digests: list[tuple[int, bytearray]] = []  # runs of consecutive numbers, with the first one of each
+        self._pairs: dict[str, list[PairView]] = {}
+        self._points: list[cumulative_series.Point] = []
+        self._excesses: list[Excess] = []
+        self._before: dict[float, account_record.AccountRecord | None] = dict.fromkeys(boundaries)
+        self.add(first)
+
+    @property
+    def process(self) -> str:
+        """Name of the process."""
+        return self._first.process
+
+    @property
+    def role(self) -> str:
+        """Role of the process."""
+        return self._first.role
+
+    @property
+    def incarnation(self) -> str:
+        """The incarnation."""
+        return self._first.incarnation
+
+    @property
+    def first(self) -> "account_record.AccountRecord":
+        """The oldest record."""
+        return self._first
+
+    @property
+    def last(self) -> "account_record.AccountRecord":
+        """The newest record."""
+        return self._last
+
+    @property
+    def last_hash(self) -> str:
+        """Hash of the newest record."""
+        return self._last_hash
+
+    @property
+    def starts_late(self) -> bool:
+        """Whether the first records are not there."""
+        return self._first.sequence > 1
+
+    @property
+    def count(self) -> int:
+        """Number of records."""
+        return sum(len(digests) for _, digests in self._digests) // DIGEST_BYTES
+
+    @property
+    def pairs(self) -> dict[str, list[PairView]]:
+        """The changes of the counts of each pair, by the peer's incarnation."""
+        return self._pairs
+
+    @property
+    def points(self) -> list[cumulative_series.Point]:
+        """First and last points of equal counts of starts."""
+        return self._points
+
+    @property
+    def excesses(self) -> list[Excess]:
+        """Records whose pairs exceed the counters by more than any before."""
+        return self._excesses
+
+    def before(self, boundary_s: float) -> "account_record.AccountRecord | None":
+        """Return the newest record made before one of the boundaries."""
+        return self._before[boundary_s]
+
+    def add(self, record: "account_record.AccountRecord") -> None:
+        """Add a record with a higher number than all before."""
+        if not self._digests or record.sequence != self._last.sequence + 1:
+            self._digests.append((record.sequence, bytearray()))
+        self._last_hash = record.hash
+        self._digests[-1][1].extend(self._digest(self._last_hash))
+        self._last = record
+        for boundary_s in self._before:
+            if record.at_s < boundary_s:
+                self._before[boundary_s] = record
+        for pair in record.pairs:
+            self._add_pair(record, pair)
+        if record.role == "agent":
+            self._add_counts(record)
+
+    def find_repeated(self, record: "account_record.AccountRecord") -> bool | None:
+        """Return whether an earlier record with the same number is equal, None if there is none."""
+        first, digests = next((run for run in reversed(self._digests) if run[0] <= record.sequence), (0, bytearray()))
+        index = (record.sequence - first) * DIGEST_BYTES
+        known = digests[index : index + DIGEST_BYTES]
+        return known == self._digest(record.hash) if known else None
+
+    def _add_pair(self, record: "account_record.AccountRecord", pair: pair_account.PairTotals) -> None:
+        views = self._pairs.setdefault(pair.peer, [])
+        if views and views[-1].totals[IDENTITY_FIELDS:] == pair[IDENTITY_FIELDS:]:
+            views[-1] = views[-1]._replace(last_s=record.at_s, is_final=record.final)
+            return
+        if views:  # so that the names are kept once
+            known = views[0].totals
+            pair = pair._replace(peer=known.peer, peer_name=known.peer_name, workspace=known.workspace)
+        views.append(PairView(pair, record.at_s, record.at_s, record.final))
+
+    def _add_counts(self, record: "account_record.AccountRecord") -> None:
+        sums: dict[str, float] = {}
+        for row in record.rows:
+            sums[row.name] = sums.get(row.name, 0) + row.value
+        started = round(sums.get("tasks_started", 0))
+        unknown, slot_seconds = round(sums.get("tasks_unknown", 0)), sums.get("slot_seconds", 0.0)
+        cumulative_series.Point(record.at_s, started, unknown, slot_seconds).append_to(self._points)
+        refused = round(sums.get("starts_refused", 0) + sums.get("tasks_not_run", 0))
+        answered = sum(pair.outcomes - pair.refused for pair in record.pairs) - started
+        handled = sum(pair.starts for pair in record.pairs) - refused - started
+        most = self._excesses[-1] if self._excesses else Excess(0, 0, 0.0)
+        if answered > most.answered or handled > most.handled:
+            excess = Excess(max(answered, most.answered), max(handled, most.handled), record.at_s)
+            self._excesses.append(excess)
+
+    @staticmethod
+    def _digest(record_hash: str) -> bytes:
+        return bytes.fromhex(record_hash)[:DIGEST_BYTES]
--- a/src/cactusgauge/accounting/cumulative_series.py
+++ b/src/cactusgauge/accounting/cumulative_series.py
@@ -15,6 +15,12 @@
     unknown: int = 0
     slot_seconds: float = 0.0
 
+    def append_to(self, points: "list[Point]") -> None:
+        """Append this point; of equal counts only the first and the last point are kept."""
+        if len(points) > 1 and points[-2][1:] == points[-1][1:] == self[1:]:
+            points.pop()
+        points.append(self)
+
 
 class CumulativeSeries:
     """Sum of the counts of several incarnations, each of which begins at zero."""
--- a/src/cactusgauge/accounting/file_account_log.py
+++ b/src/cactusgauge/accounting/file_account_log.py
@@ -18,7 +18,7 @@
 
     def __init__(self, path: "pathlib.Path") -> None:
         self._path = path
-        self._streams: dict[str, list[platform.LogRecord]] | None = None
+        self._next: dict[tuple[str, int], int] = {}  # place in the file from which a stream is read on at an offset
 
     async def append(self, stream: str, data: bytes) -> int:
         """Raise `LogServiceError`."""
@@ -26,25 +26,22 @@
 
     async def read(self, stream: str, offset: int, limit: int) -> platform.LogPage:
         """Return at most `limit` records from `offset`; raise `LogServiceError` if the file is not an export."""
-        if self._streams is None:
-            self._streams = self._load()
-        records = self._streams.get(stream, [])
-        if not records:
-            return platform.LogPage([], 0, 0)
-        found = [record for record in records if record.offset >= offset][:limit]
-        return platform.LogPage(found, records[0].offset, records[-1].offset + 1)
+        found: list[platform.LogRecord] = []
+        try:
+            with self._path.open("rb") as file:
+                file.seek(self._next.pop((stream, offset), 0))
+                while len(found) < limit and (line := file.readline()):
+                    name, number, data = line.rstrip(b"\n").split(SEPARATOR, 2)
+                    if name.decode() == stream and int(number) >= offset:
+                        found.append(platform.LogRecord(int(number), data))
+                if found:
+                    self._next[stream, found[-1].offset + 1] = file.tell()
+        except (OSError, ValueError) as error:
+            raise exceptions.LogServiceError(f"{self._path} is no exported accounting stream: {error}") from error
+        first = found[0].offset if found else offset
+        return platform.LogPage(found, first, found[-1].offset + 1 if found else offset)
 
     @staticmethod
     def format_line(stream: str, record: platform.LogRecord) -> bytes:
         """Return the line of a record."""
         return SEPARATOR.join((stream.encode(), b"%d" % record.offset, record.data)) + b"\n"
-
-    def _load(self) -> dict[str, list[platform.LogRecord]]:
-        streams: dict[str, list[platform.LogRecord]] = {}
-        try:
-            for line in self._path.read_bytes().splitlines():
-                stream, offset, data = line.split(SEPARATOR, 2)
-                streams.setdefault(stream.decode(), []).append(platform.LogRecord(int(offset), data))
-        except (OSError, ValueError) as error:
-            raise exceptions.LogServiceError(f"{self._path} is no exported accounting stream: {error}") from error
-        return streams
--- a/src/cactusgauge/accounting/report_book.py
+++ b/src/cactusgauge/accounting/report_book.py
@@ -1,6 +1,7 @@
 """The usage reports of all workers, as read from the log."""
 
 import itertools
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from cactusgauge import exceptions
@@ -25,20 +26,35 @@
     gaps: list[Gap]
 
 
+class Run:
+    """Reports of one incarnation: the first, the last and the changes of the counts."""
+
+    def __init__(self, first: usage_report.UsageReport) -> None:
+        self.first = first
+        self.last = first
+        self.points: list[cumulative_series.Point] = []
+
+    def add(self, report: usage_report.UsageReport) -> None:
+        """Add a report with a higher number."""
+        self.last = report
+        cumulative_series.Point(report.to_s, report.starts, 0, report.slot_seconds).append_to(self.points)
+
+
 class ReportBook:
     """Reports by worker, and the findings about the reports themselves."""
 
-    def __init__(self, entries: "list[platform.LogRecord]") -> None:
-        self._is_trimmed = bool(entries) and entries[0].offset > 0
+    def __init__(self) -> None:
+        self._is_trimmed: bool | None = None
         self._findings: list[account_book.Finding] = []
-        self._reports: dict[str, dict[str, list[usage_report.UsageReport]]] = {}
-        for entry in entries:
-            self._add(entry)
+        self._runs: dict[str, dict[str, Run]] = {}
 
     @classmethod
     async def read(cls, log: "platform.LogService") -> "ReportBook":
         """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
-        return cls(await account_book.read_stream(log, usage_report.REPORT_STREAM))
+        book = cls()
+        async for entry in account_book.read_stream(log, usage_report.REPORT_STREAM):
+            book.add(entry)
+        return book
 
     @property
     def findings(self) -> list[account_book.Finding]:
@@ -48,33 +64,36 @@
     @property
     def workers(self) -> dict[str, WorkerReports]:
         """The reports by worker."""
-        return {worker: self._summarise(list(runs.values())) for worker, runs in sorted(self._reports.items())}
+        return {worker: self._summarise(list(runs.values())) for worker, runs in sorted(self._runs.items())}
 
-    def _add(self, entry: "platform.LogRecord") -> None:
+    def add(self, entry: "platform.LogRecord") -> None:
+        """Take the next record of the stream."""
+        if self._is_trimmed is None:
+            self._is_trimmed = entry.offset > 0
         try:
             report = usage_report.UsageReport.decode(entry.data)
         except exceptions.AccountingError:
             message = f"the record at offset {entry.offset} of {usage_report.REPORT_STREAM} is no usage report"
             self._findings.append(account_book.Finding(account_book.FindingKind.MALFORMED, "", "", None, None, message))
             return
-        known = self._reports.setdefault(report.worker, {}).setdefault(report.incarnation, [])
-        last = known[-1] if known else report
-        if report.sequence > last.sequence or not known:
+        run = self._runs.setdefault(report.worker, {}).setdefault(report.incarnation, Run(report))
+        last = run.last
+        if report.sequence > last.sequence or not run.points:
             if report.starts < last.starts or report.slot_seconds < last.slot_seconds or report.to_s < last.to_s:
                 self._note(account_book.FindingKind.DECREASING, last, report, "is lower than the one before")
-            known.append(report)
+            run.add(report)
         elif report.sequence == last.sequence and report != last:
             self._note(account_book.FindingKind.CONFLICTING, last, report, "stands there twice with different content")
 
-    def _summarise(self, runs: list[list[usage_report.UsageReport]]) -> WorkerReports:
-        runs.sort(key=lambda run: run[0].to_s)
-        series = cumulative_series.CumulativeSeries(
-            [cumulative_series.Point(each.to_s, each.starts, 0, each.slot_seconds) for each in run] for run in runs
-        )
-        gaps = [Gap(ended[-1].to_s, began[0].to_s) for ended, began in itertools.pairwise(runs) if not ended[-1].final]
+    def _summarise(self, runs: list[Run]) -> WorkerReports:
+        runs.sort(key=lambda run: run.first.to_s)
+        gaps = [
+            Gap(ended.last.to_s, began.first.to_s) for ended, began in itertools.pairwise(runs) if not ended.last.final
+        ]
         if self._is_trimmed:
-            gaps.append(Gap(-float("inf"), runs[0][0].to_s))
-        return WorkerReports(series, max(run[-1].slots for run in runs), gaps)
+            gaps.append(Gap(-math.inf, runs[0].first.to_s))
+        series = cumulative_series.CumulativeSeries(run.points for run in runs)
+        return WorkerReports(series, max(run.last.slots for run in runs), gaps)
 
     def _note(
         self,
--- a/src/cactusgauge/accounting/usage.py
+++ b/src/cactusgauge/accounting/usage.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from cactusgauge.accounting import account_book, account_record, pair_account
+    from cactusgauge.accounting import account_book, chain, pair_account
 
 MICROSECONDS_PER_SECOND = 1_000_000
 INFORMATIVE_ROWS = ("jobs_accepted", "tasks_accepted", "tasks_completed", "tasks_failed", "tasks_unknown")
@@ -30,7 +30,8 @@
 
     A record belongs to the time at which it was made. Differences of cumulative counts make consecutive periods add
     up exactly, whatever was lost, repeated or late. Of the two sides of a pair the one with the higher message number
-    counts, so a killed process loses nothing that its counterpart recorded.
+    counts, so a killed process loses nothing that its counterpart recorded. The book must have the ends of the period
+    as boundaries.
     """
 
     def __init__(self, book: "account_book.AccountBook", from_s: float = -math.inf, to_s: float = math.inf) -> None:
@@ -43,30 +44,25 @@
         used: dict[str, WorkspaceUsage] = {}
         for pairs in self._pairs().values():
             self._add_pair(used, pairs)
-        for chain in self._book.chains.values():
-            self._add_rows(used, chain)
+        for each in self._book.chains.values():
+            self._add_rows(used, each)
         return dict(sorted(used.items()))
 
-    def _pairs(self) -> "dict[tuple[str, str], list[tuple[account_record.AccountRecord, pair_account.PairTotals]]]":
-        found: dict[tuple[str, str], list[tuple[account_record.AccountRecord, pair_account.PairTotals]]] = {}
-        for chain in self._book.chains.values():
-            for record in chain.records:
-                for pair in record.pairs:
-                    key = (chain.incarnation, pair.peer) if chain.role == "entry" else (pair.peer, chain.incarnation)
-                    found.setdefault(key, []).append((record, pair))
+    def _pairs(self) -> "dict[tuple[str, str], list[tuple[chain.Chain, chain.PairView]]]":
+        found: dict[tuple[str, str], list[tuple[chain.Chain, chain.PairView]]] = {}
+        for each in self._book.chains.values():
+            for peer, views in each.pairs.items():
+                key = (each.incarnation, peer) if each.role == "entry" else (peer, each.incarnation)
+                found.setdefault(key, []).extend((each, view) for view in views)
         return found
 
-    def _add_pair(
-        self,
-        used: dict[str, WorkspaceUsage],
-        pairs: "list[tuple[account_record.AccountRecord, pair_account.PairTotals]]",
-    ) -> None:
-        before = [pair for record, pair in pairs if record.at_s < self._from_s]
-        until = [pair for record, pair in pairs if record.at_s < self._to_s]
+    def _add_pair(self, used: dict[str, WorkspaceUsage], pairs: "list[tuple[chain.Chain, chain.PairView]]") -> None:
+        before = [view.totals for _, view in pairs if view.first_s < self._from_s]
+        until = [view.totals for _, view in pairs if view.first_s < self._to_s]
         if not until:
             return
         # Trimmed records leave the beginning unknown: then only what was counted since is certain.
-        is_open = not before and all(self._book.chains[record.incarnation].starts_late for record, _ in pairs)
+        is_open = not before and all(each.starts_late for each, _ in pairs)
         base = before or ([min(until, key=lambda pair: pair.assign_number)] if is_open else [])
         changes = {
             name: self._highest(until, name, number) - self._highest(base, name, number)
@@ -95,20 +91,18 @@
             return 0
         return int(getattr(max(pairs, key=lambda pair: int(getattr(pair, number))), name))
 
-    def _add_rows(self, used: dict[str, WorkspaceUsage], chain: "account_book.Chain") -> None:
-        before = [record for record in chain.records if record.at_s < self._from_s]
-        until = [record for record in chain.records if record.at_s < self._to_s]
-        if not until:
+    def _add_rows(self, used: dict[str, WorkspaceUsage], each: "chain.Chain") -> None:
+        before, until = each.before(self._from_s), each.before(self._to_s)
+        if until is None:
             return
-        is_open = not before and chain.starts_late
-        base = before[-1] if before else until[0] if is_open else None
+        base = before or (each.first if each.starts_late else None)
         old_values = {row[:3]: row.value for row in base.rows} if base else {}
-        for row in until[-1].rows:
+        for row in until.rows:
             if not row.workspace:
                 continue
             change = round(row.value - old_values.get(row[:3], 0))
             old = used.get(row.workspace, WorkspaceUsage(row.workspace))
-            if chain.role == "entry" and row.name in INFORMATIVE_ROWS:
+            if each.role == "entry" and row.name in INFORMATIVE_ROWS:
                 counts = {**old.counts, row.name: old.counts.get(row.name, 0) + change}
                 used[row.workspace] = old._replace(counts=counts)
             elif row.name == "messages_wasted":
--- a/src/cactusgauge/accounting/worker_audit.py
+++ b/src/cactusgauge/accounting/worker_audit.py
@@ -7,7 +7,7 @@
 from cactusgauge.accounting import account_book, account_writer, audit, cumulative_series
 
 if TYPE_CHECKING:
-    from cactusgauge.accounting import account_record, report_book
+    from cactusgauge.accounting import chain, report_book
 
 # An agent's run time begins before the request is sent and ends after the answer is read; 50 times a round trip.
 SLOT_SECONDS_SLACK_PER_START = 0.05
@@ -35,10 +35,10 @@
         self._book = book
         self._findings = list(reports.findings)
         self._append_times = book.append_times
-        chains: dict[str, list[account_book.Chain]] = {}
-        for chain in book.chains.values():
-            if chain.role == "agent":
-                chains.setdefault(chain.process, []).append(chain)
+        chains: dict[str, list[chain.Chain]] = {}
+        for each in book.chains.values():
+            if each.role == "agent":
+                chains.setdefault(each.process, []).append(each)
         workers = reports.workers
         for worker, reported in workers.items():
             self._compare(worker, chains.get(worker, []), reported)
@@ -52,8 +52,8 @@
         """All discrepancies."""
         return self._findings
 
-    def _compare(self, worker: str, chains: list[account_book.Chain], reported: "report_book.WorkerReports") -> None:
-        own = cumulative_series.CumulativeSeries(map(self._points, chains))
+    def _compare(self, worker: str, chains: "list[chain.Chain]", reported: "report_book.WorkerReports") -> None:
+        own = cumulative_series.CumulativeSeries(chain.points for chain in chains)
         for chain in chains:
             self._compare_with_pairs(chain, reported.slots)
         self._find_claimed_only(worker, own, reported)
@@ -93,7 +93,7 @@
     def _find_reported_only(
         self,
         worker: str,
-        chains: list[account_book.Chain],
+        chains: "list[chain.Chain]",
         own: cumulative_series.CumulativeSeries,
         reported: "report_book.WorkerReports",
     ) -> None:
@@ -113,7 +113,8 @@
         ]
         settled = [point for point in reported.series.points if self._settled_s(point.at_s, window_s) <= now_s]
         if settled:
-            pairs.append((own.until(math.inf), settled[-1], math.inf))
+            last = own.points[-1] if own.points else cumulative_series.Point(reported.series.points[0].at_s)
+            pairs.append((last, settled[-1], math.inf))
         excesses = []
         for point, report, until_s in pairs:
             lost = sum(
@@ -136,7 +137,8 @@
         else:
             kind = account_book.FindingKind.UNACCOUNTED
             explanation = "only if the log was out of reach for the agent, or it was killed with its entries at once"
-        self._note(kind, worker, found.own.at_s, found.reported.at_s, message, explanation)
+        from_s, to_s = sorted((found.own.at_s, found.reported.at_s))
+        self._note(kind, worker, from_s, to_s, message, explanation)
 
     @staticmethod
     def _worst(excesses: list[Excess]) -> Excess | None:
@@ -162,22 +164,17 @@
             self._note(account_book.FindingKind.UNCONFIRMED, worker, None, point.at_s, message, explanation)
             return
 
-    def _compare_with_pairs(self, chain: account_book.Chain, slots: int) -> None:
+    def _compare_with_pairs(self, chain: "chain.Chain", slots: int) -> None:
         """Tie what is billed, which the pairs show, to the counters that are compared with the worker."""
-        for record in chain.records:
-            started = self._sum(record, "tasks_started")
-            refused = self._sum(record, "starts_refused") + self._sum(record, "tasks_not_run")
-            answered = sum(pair.outcomes - pair.refused for pair in record.pairs)
-            handled = sum(pair.starts for pair in record.pairs)
-            excess = max(answered - started, handled - refused - started - slots)
-            if excess > 0:
-                message = f"its pairs show {excess} starts more than its counters and {slots} slots allow"
-                name = f"{chain.process} ({chain.incarnation})"
-                self._note(account_book.FindingKind.OVERCLAIMED, name, None, record.at_s, message)
-                return
-
-    def _note_unreported(self, worker: str, chains: list[account_book.Chain], newest_s: float) -> None:
-        points = cumulative_series.CumulativeSeries(map(self._points, chains)).points
+        found = next((each for each in chain.excesses if max(each.answered, each.handled - slots) > 0), None)
+        if found is not None:
+            excess = max(found.answered, found.handled - slots)
+            message = f"its pairs show {excess} starts more than its counters and {slots} slots allow"
+            name = f"{chain.process} ({chain.incarnation})"
+            self._note(account_book.FindingKind.OVERCLAIMED, name, None, found.at_s, message)
+
+    def _note_unreported(self, worker: str, chains: "list[chain.Chain]", newest_s: float) -> None:
+        points = cumulative_series.CumulativeSeries(chain.points for chain in chains).points
         began_s = next((point.at_s for point in points if point.starts), math.inf)
         if newest_s < began_s + audit.CLOCK_SLACK_S:
             return
@@ -203,21 +200,6 @@
         index = bisect.bisect_right(self._append_times, due_s)
         return self._append_times[index] + window_s if index < len(self._append_times) else math.inf
 
-    def _points(self, chain: account_book.Chain) -> list[cumulative_series.Point]:
-        return [
-            cumulative_series.Point(
-                record.at_s,
-                self._sum(record, "tasks_started"),
-                self._sum(record, "tasks_unknown"),
-                sum(row.value for row in record.rows if row.name == "slot_seconds"),
-            )
-            for record in chain.records
-        ]
-
-    @staticmethod
-    def _sum(record: "account_record.AccountRecord", name: str) -> int:
-        return round(sum(row.value for row in record.rows if row.name == name))
-
     def _note(
         self,
         kind: account_book.FindingKind,
--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -62,11 +62,9 @@
     The shared cost is split in proportion to the task messages (assigns and results), which the records of both sides
     confirm. `audit --bill` verifies what --json prints.
     """
-    records, reports = _read(log_url, records_path)
-    if export is not None:
-        for stream, entries in ((accounting.STREAM, records), (accounting.REPORT_STREAM, reports)):
-            export.writelines(accounting.FileAccountLog.format_line(stream, entry) for entry in entries)
-    bill = accounting.make_bill(accounting.AccountBook(records), _period(since, until), cents)
+    period = _period(since, until)
+    book, _ = _read(log_url, records_path, period, export)
+    bill = accounting.make_bill(book, period, cents)
     if as_json:
         click.echo(bill.model_dump_json())
     else:
@@ -93,11 +91,10 @@
     A violation is what no fault explains; an open finding may be the effect of one and has a bound. Exit code 0 means
     that there are no violations, 1 that there are some.
     """
-    records, reports = _read(log_url, records_path)
-    book = accounting.AccountBook(records)
-    worker_audit = accounting.WorkerAudit(book, accounting.ReportBook(reports))
-    findings = accounting.Audit(book).findings + worker_audit.findings
-    differences = _compare_bill(book, bill_path) if bill_path is not None else []
+    bill = _load_bill(bill_path) if bill_path is not None else None
+    book, reports = _read(log_url, records_path, _period(bill.from_s, bill.to_s) if bill else accounting.Period())
+    findings = accounting.Audit(book).findings + accounting.WorkerAudit(book, reports).findings
+    differences = _compare_bill(book, bill) if bill is not None else []
     violations = [finding for finding in findings if not finding.kind.is_open]
     if as_json:
         documents = [{**finding._asdict(), "kind": finding.kind.value} for finding in findings]
@@ -107,15 +104,22 @@
     sys.exit(exit_codes.FAILED if violations or differences else exit_codes.COMPLETE)
 
 
-def _read(log_url: str | None, path: pathlib.Path | None) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
-    async def read_log(url: str) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
+def _read(
+    log_url: str | None, path: pathlib.Path | None, period: accounting.Period, export: BinaryIO | None = None
+) -> tuple[accounting.AccountBook, accounting.ReportBook]:
+    async def read_log(url: str) -> tuple[accounting.AccountBook, accounting.ReportBook]:
         async with aiohttp.ClientSession() as session:
             return await read_streams(platform.HttpLogService(session, url))
 
-    async def read_streams(log: platform.LogService) -> tuple[list[platform.LogRecord], list[platform.LogRecord]]:
-        # The reports first: records made meanwhile leave the newest reports not yet due for a comparison.
-        reports = await accounting.read_stream(log, accounting.REPORT_STREAM)
-        return await accounting.read_stream(log, accounting.STREAM), reports
+    async def read_streams(log: platform.LogService) -> tuple[accounting.AccountBook, accounting.ReportBook]:
+        # The reports first: for records that are made meanwhile there is then no report yet, and none too many.
+        book, reports = accounting.AccountBook(period), accounting.ReportBook()
+        for stream, add in ((accounting.REPORT_STREAM, reports.add), (accounting.STREAM, book.add)):
+            async for entry in accounting.read_stream(log, stream):
+                add(entry)
+                if export is not None:
+                    export.write(accounting.FileAccountLog.format_line(stream, entry))
+        return book, reports
 
     if path is None and log_url is None:
         raise click.UsageError("give --log-url or --records")
@@ -131,11 +135,14 @@
     return accounting.Period(-math.inf if since is None else since, math.inf if until is None else until)
 
 
-def _compare_bill(book: accounting.AccountBook, path: pathlib.Path) -> list[str]:
+def _load_bill(path: pathlib.Path) -> accounting.Bill:
     try:
-        bill = accounting.Bill.model_validate_json(path.read_bytes())
+        return accounting.Bill.model_validate_json(path.read_bytes())
     except pydantic.ValidationError as error:
         raise click.UsageError(f"{path} is not the output of usage --json") from error
+
+
+def _compare_bill(book: accounting.AccountBook, bill: accounting.Bill) -> list[str]:
     return accounting.make_bill(book, _period(bill.from_s, bill.to_s), bill.cents).differences(bill)
 
 
@@ -174,7 +181,7 @@
             click.echo(f"  may be explained: {finding.explanation}")
     for difference in differences:
         click.echo(f"VIOLATION bill: {difference}")
-    records = sum(len(chain.records) for chain in book.chains.values())
+    records = sum(chain.count for chain in book.chains.values())
     open_count = sum(finding.kind.is_open for finding in findings)
     violations = len(findings) - open_count + len(differences)
     click.echo(
--- a/tests/unit/accounting/test_audit.py
+++ b/tests/unit/accounting/test_audit.py
@@ -72,6 +72,20 @@
     assert found[0].process.startswith("agent")
 
 
+async def test_repeated_records_are_told_from_conflicting_ones(world: world_module.World) -> None:
+    """Guards against a late repetition being taken for fraud, and against a second version of an old record passing."""
+    await run(world, 6)
+    second = world.log.records[world.log.find("agent", 2)]
+    world.log.records.append(second)
+    assert await world.audit() == []
+    record, _ = account_record.AccountRecord.decode(second)
+    world.log.records.append(record.model_copy(update={"at_s": record.at_s + 1}).encode())
+    assert kinds(await world.audit()) == {Kind.CONFLICTING}
+    world.log.drop("agent", 3)
+    world.log.records.append(record.model_copy(update={"sequence": 3}).encode())
+    assert kinds(await world.audit()) == {Kind.CONFLICTING, Kind.DROPPED, Kind.BROKEN_CHAIN}
+
+
 async def test_edited_record_is_found_and_not_used(world: world_module.World) -> None:
     """Guards against a changed record being billed."""
     await run(world)
--- a/tests/unit/accounting/test_worker_audit.py
+++ b/tests/unit/accounting/test_worker_audit.py
@@ -82,7 +82,9 @@
     for _ in range(12):
         await world.append(world.entry)
         await world.append_report()
-    assert Kind.UNACCOUNTED in {finding.kind for finding in await world.audit_worker()}
+    found = await world.audit_worker()
+    assert Kind.UNACCOUNTED in {finding.kind for finding in found}
+    assert all(1000 <= (finding.from_s or 1000) <= (finding.to_s or 0) <= world.now_s for finding in found)
 
 
 async def test_record_that_is_no_report_is_found(world: world_module.World) -> None:
--- a/tests/unit/accounting/world.py
+++ b/tests/unit/accounting/world.py
@@ -144,5 +144,5 @@
 
     async def usage(self, from_s: float = 0.0, to_s: float = 1e12) -> accounting.WorkspaceUsage:
         """Return the usage of the workspace."""
-        book = await accounting.AccountBook.read(self.log)
+        book = await accounting.AccountBook.read(self.log, (from_s, to_s))
         return accounting.Usage(book, from_s, to_s).by_workspace()["cheese"]
