Remove the count of dropped outcomes from the accounting records

An agent reports what it can no longer deliver as `unknown` and keeps the outcomes, so nothing set `PairAccount.dropped` any more. The audit still skipped the comparison of results for a pair with such a count, which a false record could have used to avoid it. The field of `PairTotals` and the branch are removed. This changes the format of the records; there is no compatibility to keep before the first release.

--- a/src/cactusgauge/accounting/audit.py
+++ b/src/cactusgauge/accounting/audit.py
@@ -100,14 +100,6 @@
         if not sender.views or not receiver.views:
             self._compare_with_nothing(kind, *((sender, receiver) if sender.views else (receiver, sender)))
             return
-        dropped = self._dropped(agent, entry)
-        if dropped and kind.sender_role == "agent":
-            # What was not acknowledged in time is counted as dropped, though it may have arrived.
-            message = f"{agent_side.name} gave up delivering {dropped} outcomes, so results cannot be compared"
-            explanation = f"{entry_side.name} was out of reach for long; {sender.last.counts[0]} were acknowledged"
-            times = (sender.views[0].first_s, sender.last.last_s)
-            self._note(account_book.FindingKind.UNFINISHED, sender, receiver, *times, message, explanation)
-            return
         self._compare_counts(kind, sender, receiver)
         if sender.last.number > receiver.last.number:
             self._explain_lead(kind, sender, receiver, is_acknowledged=True)
@@ -214,10 +206,6 @@
         ]
         return Side(f"{chain.process} ({own})", views, chain.last.interval_s)
 
-    def _dropped(self, agent: str, entry: str) -> int:
-        chain = self._book.chains[agent]
-        return next((pair.dropped for pair in chain.last.pairs if pair.peer == entry), 0)
-
     def _name(self, incarnation: str, peer: str) -> str:
         chain = self._book.chains.get(peer)
         pairs: abc.Sequence[pair_account.PairTotals] = chain.last.pairs if chain else ()
--- a/src/cactusgauge/accounting/pair_account.py
+++ b/src/cactusgauge/accounting/pair_account.py
@@ -16,7 +16,6 @@
 
     Both sides count a message when its sequence number makes it certain that it took effect: the receiver when it
     handles it, the sender when it is acknowledged. So two records that show the same number show the same counts.
-    `dropped` counts outcomes that an agent gave up delivering to an entry that stayed away.
     """
 
     peer: str
@@ -28,13 +27,12 @@
     outcomes: int
     refused: int
     run_us: int
-    dropped: int
 
 
 class PairAccount:
     """Counts of one pair at one side."""
 
-    __slots__ = ("assign_number", "dropped", "outcomes", "refused", "results_number", "run_us", "starts")
+    __slots__ = ("assign_number", "outcomes", "refused", "results_number", "run_us", "starts")
 
     def __init__(self) -> None:
         self.assign_number = 0
@@ -43,7 +41,6 @@
         self.outcomes = 0
         self.refused = 0
         self.run_us = 0
-        self.dropped = 0
 
     def count_assign(self, number: int, starts: int) -> None:
         """Count an assign message that took effect."""
@@ -72,5 +69,4 @@
             self.outcomes,
             self.refused,
             self.run_us,
-            self.dropped,
         )
