--- a/tests/system/test_planned_stop.py
+++ b/tests/system/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops interrupt no request (G7)."""
 
+import concurrent.futures
 import pathlib
 import signal
 import time
@@ -14,11 +15,9 @@
 
 
 @pytest.fixture
-def processes(
-    tmp_path: pathlib.Path,
-) -> abc.Iterator[cluster.Cluster]:
-    """Give three entries and two workers."""
-    with cluster.Cluster(tmp_path) as started:
+def processes(tmp_path: pathlib.Path) -> abc.Iterator[cluster.Cluster]:
+    """Give three entries and two workers whose links can be cut."""
+    with cluster.Cluster(tmp_path, networked=True) as started:
         for name in ENTRIES:
             started.start_entry(name)
         for number in range(2):
@@ -26,6 +25,7 @@
         started.wait_ready(*ENTRIES)
         for name in ENTRIES:
             started.wait_linked(name, 2)
+            started.wait_peers(name, len(ENTRIES) - 1)
         yield started
 
 
@@ -142,6 +142,55 @@
         assert not answer.body["recovered"]
 
 
+@pytest.mark.parametrize("count", [1, 2])
+def test_entry_stopped_while_it_is_cut_off_from_peers(
+    processes: cluster.Cluster, background: concurrent.futures.ThreadPoolExecutor, count: int
+) -> None:
+    """Guards against a stop that hangs, and lost or repeated jobs, when some or all peers cannot take the sessions."""
+    each = caller.Caller(processes["entry-0"].http_url)
+    session = each.open_session()
+    owner = owner_of(processes, session)
+    others = [name for name in ENTRIES if name != owner]
+    body = caller.fee_body(32, 100)
+    assert each.submit(session, 1, body).status == 200
+    waiting = background.submit(caller.Caller(processes[owner].http_url).submit, session, 2, body)
+    checks.wait_started(processes, session, 2)
+    processes.network.cut(owner, *others[:count])
+    stop(processes, owner)
+    processes.network.heal()
+
+    assert checks.check_answer(processes, waiting.result(), session, 2, 32, "fee") == {"completed": 32}
+    for name in others:
+        for number in (1, 2):
+            answer = caller.Caller(processes[name].http_url).submit(session, number, body)
+            assert checks.check_answer(processes, answer, session, number, 32, "fee") == {"completed": 32}
+            # Without a successor the answer may come from the records of the agents.
+            assert count == len(others) or not answer.body["recovered"]
+    checks.check_started_once(processes)
+
+
+def test_all_entries_stopped_at_once(
+    processes: cluster.Cluster, background: concurrent.futures.ThreadPoolExecutor
+) -> None:
+    """Guards against a caller that waits in vain, a stop that hangs and a second start when no successor is left."""
+    waiting = []
+    for name in ENTRIES:
+        # An entry that forwards for another one opens the session itself.
+        session = caller.Caller(processes[name].http_url, headers={"Cactusgauge-Hop": "owner"}).open_session()
+        each = caller.Caller(processes[name].http_url)
+        waiting.append((session, background.submit(each.submit, session, 1, caller.fee_body(16, 200))))
+    for session, _ in waiting:
+        checks.wait_started(processes, session, 1)
+    for name in ENTRIES:
+        processes.signal(name, signal.SIGTERM)
+
+    for session, answer in waiting:
+        ended = checks.check_answer(processes, answer.result(), session, 1, 16, "fee")
+        assert ended == {"completed": 16}
+    assert [processes.wait_exit(name) for name in ENTRIES] == [0, 0, 0]
+    checks.check_started_once(processes)
+
+
 def test_job_that_nobody_waits_for_is_finished_before_the_stop(processes: cluster.Cluster) -> None:
     """Guards against an entry that stops once no request is open although accepted jobs still run."""
     each = caller.Caller(processes["entry-0"].http_url)
