Bound the bytes of unfinished jobs per workspace

Unfinished jobs were bounded by tasks only: 20,000 queued tasks with payloads of up to 1 MiB per body are 59 jobs of 340 tasks, but 20,000 single tasks of 1 MiB each were accepted as well. An entry now holds 64 MiB of payloads, task objects and results of unfinished jobs per workspace, as much as for finished ones. A job without room is refused whole as `overloaded`; one that is alone is accepted whatever its size, as waiting would not help it. Results of accepted jobs count, but only a new job can be refused, so they may pass the bound.

The size of a job is counted as it grows instead of being summed over its tasks.

--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -9,6 +9,10 @@
 if TYPE_CHECKING:
     from cactusgauge import observability
 
+# Per workspace; as much as all finished jobs may hold, a quarter of the 256 MB that a node may use. The default of
+# 20,000 queued tasks fits with payloads of up to 2.7 KB each; a job of 340 tasks has at most 3 KB for each.
+MAX_OPEN_BYTES = 64 * 1024 * 1024
+
 
 class JobService:
     """Sessions, jobs and dispatchers of one entry incarnation."""
@@ -25,6 +29,7 @@
         self._events = events
         self._sessions = jobs.SessionStore(owner)
         self._dispatchers: dict[ids.WorkspaceName, dispatch.Dispatcher] = {}
+        self._open_bytes: dict[ids.WorkspaceName, jobs.OpenBytes] = {}
         self._draining = False
 
     @property
@@ -122,11 +127,14 @@
             raise exceptions.DrainingError("this entry is being stopped; open a session at another one")
         deadline_ms = min(request.deadline_ms or config.default_deadline_ms, config.max_deadline_ms)
         job = jobs.Job(job_id, request, now, deadline_ms)
+        open_bytes = self._open_bytes.setdefault(workspace, jobs.OpenBytes(MAX_OPEN_BYTES))
         try:
+            self._check_room(open_bytes, job, workspace)
             self.dispatcher(workspace).admit(job)
         except exceptions.OverloadedError as error:
             self._events.record("job_refused", job=str(job_id), workspace=workspace, code=error.code)
             raise
+        job.count_in(open_bytes)
         session.add(job)
         return job
 
@@ -170,5 +178,12 @@
             for session in self._sessions.sessions
         ]
 
+    def _check_room(self, open_bytes: jobs.OpenBytes, job: jobs.Job, workspace: ids.WorkspaceName) -> None:
+        try:
+            open_bytes.check(job.held_bytes)
+        except exceptions.OverloadedError as error:
+            self._counters.add("jobs_refused", workspace, error.code)
+            raise
+
     def _on_finished(self, job: jobs.Job) -> None:
         self._sessions.mark_finished(job)
--- a/src/cactusgauge/jobs/job.py
+++ b/src/cactusgauge/jobs/job.py
@@ -6,7 +6,7 @@
 import sys
 
 from cactusgauge import ids
-from cactusgauge.jobs import answer, job_request, task
+from cactusgauge.jobs import answer, job_request, open_bytes, task
 
 MILLISECONDS_PER_SECOND = 1000
 TASK_OVERHEAD_BYTES = 600  # a task object, its request and its queue entry
@@ -38,6 +38,9 @@
         self._accepted_at = accepted_at
         self._deadline = accepted_at + deadline_ms / MILLISECONDS_PER_SECOND
         self._refusal: task.Reason | None = None
+        self._open_bytes: open_bytes.OpenBytes | None = None
+        # A character of a payload takes up to four bytes, which only getsizeof tells.
+        self._held_bytes = sum(sys.getsizeof(each.payload) + TASK_OVERHEAD_BYTES for each in request.tasks)
         self._finished = asyncio.Event()
         self._finished_at: float | None = None
 
@@ -103,14 +106,18 @@
     @property
     def held_bytes(self) -> int:
         """Approximate memory of the job: payloads, results and TASK_OVERHEAD_BYTES for each task."""
-        # A character of a payload takes up to four bytes, which only getsizeof tells.
-        return sum(sys.getsizeof(each.request.payload) + len(each.result) + TASK_OVERHEAD_BYTES for each in self._tasks)
+        return self._held_bytes
 
     @property
     def queued_tasks(self) -> list[task.Task]:
         """The tasks that wait for a slot, next one first."""
         return [self._tasks[index] for index in self._queue]
 
+    def count_in(self, counted: open_bytes.OpenBytes) -> None:
+        """Count the job's memory there until it is finished."""
+        self._open_bytes = counted
+        counted.add(self._held_bytes)
+
     def next_task(self) -> task.Task:
         """Return the task that is sent next; the queue must not be empty."""
         return self._tasks[self._queue[0]]
@@ -151,6 +158,9 @@
         ended.result = result
         ended.run_ms = run_ms
         self._open_count -= 1
+        self._held_bytes += len(result)
+        if self._open_bytes is not None:
+            self._open_bytes.add(len(result) if self._open_count else len(result) - self._held_bytes)
         if not self._open_count:
             self._finished_at = now
             self._finished.set()
