Derive how many tasks a killed backend server may leave unknown

A dying process closes its newest descriptors first, so its listener last: with 800 connections to a killed process, a connection made after the first reset was accepted in 10 of 10 rounds and then reset. A trial with 1000 to 6000 idle connections to the backend server, which makes its exit slow, shows what follows in the events of the agent: the eight running tasks are lost at 0 ms, the entry refills the eight slots at 3 ms over new connections that no process accepts any more, these end together when the listener is closed at 35 ms, and all later connections are refused. Six of six such rounds gave 8 + 8 unknown tasks, and four rounds with at most 200 idle connections gave 8.

So each slot may lose two tasks, one that the server started and one that it never saw.

--- a/tests/system/test_agent_faults.py
+++ b/tests/system/test_agent_faults.py
@@ -15,6 +15,7 @@
 TASKS = 60
 RUN_MS = 100
 AGENTS = 2
+SLOTS = 8  # of each backend server
 ENTRY = "entry-0"
 
 
@@ -85,6 +86,13 @@
         """Wait for the answer, check it and return how many tasks ended in each state."""
         return checks.check_answer(self._processes, self._future.result(), self._session, 1, self._count, "fee")
 
+    def unseen_unknown(self) -> int:
+        """Return how many tasks are `unknown` although no backend server recorded a start."""
+        starts = self._processes.starts(f"{self._session}/1/")
+        tasks = self._future.result().body["tasks"]
+        unknown = [task["index"] for task in tasks if task["state"] == "unknown"]
+        return sum(f"{self._session}/1/{index}" not in starts for index in unknown)
+
     def reasons(self) -> set[str]:
         """Return the reasons that the answer gives."""
         return {task.get("reason", "") for task in self._future.result().body["tasks"]}
@@ -104,7 +112,7 @@
 
     ended = job.ended()
 
-    assert 1 <= ended["unknown"] <= 8, ended
+    assert 1 <= ended["unknown"] <= SLOTS, ended
     assert ended["completed"] == TASKS - ended["unknown"]
     assert job.reasons() == {"", "agent_restarted" if restarted else "agent_lost"}
 
@@ -168,8 +176,12 @@
 
     ended = job.ended()
 
-    # A server that is being killed still accepts connections after its eight running tasks were cut off.
-    assert 1 <= ended["unknown"] <= 16, ended
+    # A process that dies closes its newest connections first and its listener last. Until then the kernel accepts
+    # connections for it, so each slot may lose the task that ran and one more, which the server never saw; when the
+    # listener is closed, all of those end, and later connections are refused.
+    unseen = job.unseen_unknown()
+    assert 1 <= ended["unknown"] - unseen <= SLOTS, ended
+    assert unseen <= SLOTS, ended
     assert ended["completed"] == TASKS - ended["unknown"]
     assert job.reasons() == {"", "connection_lost"}
 
@@ -193,7 +205,7 @@
 
     ended = job.ended()
 
-    assert 1 <= ended["unknown"] <= 8, ended
+    assert 1 <= ended["unknown"] <= SLOTS, ended
     assert ended["completed"] == TASKS - ended["unknown"]
 
 
