Follow sessions over two planned stops in a row

The check of the handover ended with the first successor. It is now stopped as well, and the last entry is asked for every number; a successor that hands on only its own sessions fails it.

--- a/tests/unit/entry/test_hand_over.py
+++ b/tests/unit/entry/test_hand_over.py
@@ -47,6 +47,13 @@
         super().add([session._replace(jobs=[]) for session in sessions])
 
 
+class _OnceStore(hand_over_store.HandOverStore):
+    """Hands on nothing that it took over itself."""
+
+    def held_by(self, successor: ids.EntryIncarnation) -> dict[ids.EntryIncarnation, list[wire.HandOverSession]]:
+        return {}
+
+
 class _AdoptingRouter(request_router.RequestRouter):
     """Runs what it holds no answer for, as the new owner of a session that was handed over."""
 
@@ -154,6 +161,10 @@
         target = next(each for each in self.world.entries if each._members.own.incarnation == entry.incarnation)
         return None if target.is_stopped else await target.ask(request._replace(hop=hop))
 
+    async def recover(self, *arguments: Any) -> jobs.Answer:
+        """Play a recovery that comes too late for the records of the agents."""
+        raise exceptions.UnknownJobError("no record")
+
     async def ask(self, request: caller_request.CallerRequest) -> caller_request.Reply:
         """Return the reply of this entry."""
         try:
@@ -163,7 +174,7 @@
 
 
 class _World:
-    """Three linked entries, of which the first owns two sessions and is stopped; every reply is checked."""
+    """Three linked entries; the owner of two sessions and its successor are stopped, and every reply is checked."""
 
     def __init__(self) -> None:
         self.entries = [_Entry(self, index) for index in range(ENTRIES)]
@@ -171,16 +182,16 @@
         self.accepted: dict[ids.JobId, int] = {}
         self.finished: list[ids.JobId] = []
         self._serving: list[asyncio.Task[None]] = []
-        self._pipes: list[_Pipe] = []
+        self._pipes: dict[_Pipe, tuple[_Entry, _Entry]] = {}
         for index, entry in enumerate(self.entries):
             for peer in self.entries[index + 1 :]:
                 pipe = _Pipe()
-                self._pipes.append(pipe)
+                self._pipes[pipe] = (entry, peer)
                 for end, near, far in ((pipe, entry, peer), (pipe.peer, peer, entry)):
                     self._serving.append(asyncio.create_task(self._exchange(near, end, far.hello())))
 
     async def run(self, history: list[Any]) -> None:
-        """Play a history; afterwards ask every other entry for every number."""
+        """Play a history, then stop the successor; after each stop, ask the other entries for every number."""
         owner = self.entries[0]
         await asyncio.sleep(STEP_S)
         for step in history:
@@ -192,21 +203,28 @@
                 case entry, session, number, body if not self.entries[entry].is_stopped:
                     await self._submit(self.entries[entry], ids.JobId(self.sessions[session], number), body)
             await asyncio.sleep(STEP_S)
-        owner.end_tasks(SLOTS)
-        assert owner.draining is not None
-        await owner.draining
-        for pipe in self._pipes[: ENTRIES - 1]:
-            pipe.abort()
+        await self._finish_stop(owner)
+        successor = self.entries[1]
+        successor.draining = asyncio.create_task(successor._drain())
+        await self._finish_stop(successor)
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    async def _finish_stop(self, entry: _Entry) -> None:
+        entry.end_tasks(SLOTS)
+        assert entry.draining is not None
+        await entry.draining
+        for pipe, ends in self._pipes.items():
+            if entry in ends:
+                pipe.abort()
         await asyncio.sleep(STEP_S)
-        for entry in self.entries[1:]:
+        for other in [each for each in self.entries if not each.is_stopped]:
             for job_id in [ids.JobId(session, number) for session in self.sessions for number in range(5)]:
-                await self._submit(entry, job_id, self.accepted.get(job_id, 0))
-                await self._submit(entry, job_id, 1 - self.accepted.get(job_id, 0))
+                await self._submit(other, job_id, self.accepted.get(job_id, 0))
+                await self._submit(other, job_id, 1 - self.accepted.get(job_id, 0))
         await asyncio.sleep(STEP_S)
         self._check_starts()
-        for task in self._serving:
-            task.cancel()
-        await asyncio.gather(*self._serving, return_exceptions=True)
 
     @staticmethod
     async def _exchange(entry: _Entry, end: _Pipe, hello: wire.PeerHello) -> None:
@@ -227,7 +245,7 @@
             assert [task["state"] for task in document["tasks"]] == ["completed"] * 2
             assert not document["recovered"]
         elif job_id not in self.accepted:
-            assert document["ran"] == "nothing" or code == "job_expired"
+            assert document["ran"] == "nothing" or code == "job_expired", "a closed session is forgotten"
         elif body != self.accepted[job_id] and code == "job_conflict":
             return
         else:
@@ -272,6 +290,7 @@
     ("module", "naive", "violation"),
     [
         (hand_over_store, _ForgetfulStore, "an answer is lost"),
+        (hand_over_store, _OnceStore, "is lost|is forgotten"),
         (job_service, _HastyService, "an answer is lost"),
         (request_router, _AdoptingRouter, "runs again"),
     ],
