--- a/tests/unit/entry/test_hand_over.py
+++ b/tests/unit/entry/test_hand_over.py
@@ -94,8 +94,10 @@
         for end in (self, self.peer):
             end._inbox.put_nowait(None)
 
-    async def drain(self) -> None:
-        """Return, as messages arrive at once."""
+    @property
+    def is_drained(self) -> bool:
+        """Messages arrive at once."""
+        return True
 
     async def receive(self) -> wire.Message:
         """Return the next message."""
