Keep acknowledging results after an agent's old link closed during the handshake

Cause: AgentLinks registered the worker for heartbeats before the handshake. When the handler of the agent's previous link ended in that moment, it removed the registration, as no link was attached. From then on every heartbeat of the new link acknowledged nothing. Assign messages acknowledge too, so work hid it, but a draining agent gets none: its planned stop waited for ever. The registration now follows the attach. The new test does not end with the old code.

--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -34,13 +34,14 @@
         link.workspace = hello.workspace
         dispatcher = self._service.dispatcher(hello.workspace)
         worker = dispatcher.find_worker(hello)
-        self._workers[hello.incarnation] = worker
         own, welcomed = self._members.own, self._members.alive
         link.post(wire.Welcome(wire.PROTOCOL_VERSION, own.name, own.incarnation, worker.last_result_number, welcomed))
         resume = await link.receive()
         if not isinstance(resume, wire.Resume):
             raise exceptions.ProtocolError("Resume expected")
         dispatcher.attach(worker, link, resume)
+        # Not before, as the end of the agent's previous link removes the entry.
+        self._workers[hello.incarnation] = worker
         if self._members.alive != welcomed:  # a change during the handshake was not broadcast to this agent
             link.post(wire.Entries(self._members.alive))
         self._post_configuration(dispatcher.workspace, worker)
--- a/tests/unit/agent/test_start_controller.py
+++ b/tests/unit/agent/test_start_controller.py
@@ -146,6 +146,25 @@
     assert drains[0].done()
 
 
+def test_drain_ends_after_an_old_link_closed_during_the_handshake(world: conftest.World) -> None:
+    """Guards against an entry whose heartbeats acknowledge nothing, for which a planned stop waits for ever."""
+    world.call(lambda: world.entries[0].submit(1))
+    world.deliver_all()
+    old = world.connections[0]
+    world.call(old.agent_end.abort)
+    world.dial(world.agents[0], world.entries[0])
+    world.call(world.connections[1].agent_end.deliver)
+    world.call(old.agent_end.deliver)
+    world.deliver_all()
+    drains = _drain(world)
+    world.call(lambda: world.running[0].end(COMPLETED))
+    world.deliver_all()
+    world.beat()
+    world.deliver_all()
+    world.advance(1.0)
+    assert drains[0].done()
+
+
 def test_entry_that_stops_acknowledges_first(world: conftest.World) -> None:
     """Guards against an agent whose planned stop waits AWAY_S for an entry that was stopped as well."""
     world.call(lambda: world.entries[0].submit(1))
