Send no heartbeat before a handshake is over

A peer that took longer than HEARTBEAT_S to answer received a heartbeat where it expected Welcome, Resume or PeerHello, and closed the link; after a pause of an entry, or with hundreds of agents that link at once, the handshakes would fail again and again. The test fails with the old code.

--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -91,9 +91,10 @@
             raise exceptions.ProtocolError(f"entry {welcome.name} is already linked")
         await self._serve(url, link, ledger, welcome)
 
-    def _heartbeat(self, link: wire.Link) -> wire.Message:
+    def _heartbeat(self, link: wire.Link) -> wire.Message | None:
         acks = (ledger.last_assign_number for ledger in self._controller.ledgers if ledger.link is link)
-        return wire.Heartbeat(next(acks, 0), 0)
+        ack = next(acks, None)
+        return wire.Heartbeat(ack, 0) if ack is not None else None
 
     async def _shake_hands(self, link: wire.Link) -> wire.Welcome:
         link.post(self._hello)
--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -55,13 +55,10 @@
                 self._workers.pop(hello.incarnation, None)
             self._events.record_state("agent_unlinked", agent=hello.name, incarnation=hello.incarnation)
 
-    def heartbeat(self, hello: wire.AgentHello) -> wire.Message:
-        """Return the heartbeat for an agent's link."""
-        dispatcher = self._service.dispatcher(hello.workspace)
+    def heartbeat(self, hello: wire.AgentHello) -> wire.Message | None:
+        """Return the heartbeat for an agent's link, None before the handshake."""
         worker = self._workers.get(hello.incarnation)
-        if worker is None:
-            return wire.Heartbeat(0, dispatcher.queued_count)
-        return worker.heartbeat(dispatcher.queued_count)
+        return worker.heartbeat(self._service.dispatcher(hello.workspace).queued_count) if worker is not None else None
 
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
--- a/src/cactusgauge/entry/link_server.py
+++ b/src/cactusgauge/entry/link_server.py
@@ -56,10 +56,10 @@
     async def _serve(self, connection: server.ServerConnection) -> None:
         hello: wire.Message | None = None
 
-        def heartbeat() -> wire.Message:
+        def heartbeat() -> wire.Message | None:
             if isinstance(hello, wire.AgentHello):
                 return self._agents.heartbeat(hello)
-            return self._peers.beat()
+            return self._peers.beat() if hello is not None else None
 
         with contextlib.suppress(exceptions.CactusgaugeError):
             async with wire.Link(connection, self._codec, self._counters, heartbeat) as link:
--- a/src/cactusgauge/wire/link.py
+++ b/src/cactusgauge/wire/link.py
@@ -37,7 +37,8 @@
     Messages are posted without waiting and sent by one writer task, so that a slow peer delays nobody else. On an
     active link the writer sends a heartbeat after HEARTBEAT_S without a message, and another task, as the writer may
     be blocked by that very peer, aborts the connection after SILENCE_S without a message from the peer. An idle link
-    uses IDLE_HEARTBEAT_S and IDLE_SILENCE_S.
+    uses IDLE_HEARTBEAT_S and IDLE_SILENCE_S. There is no heartbeat during a handshake, for which `heartbeat` returns
+    None: a peer that is slow to answer expects another message.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         connection: "connection_module.Connection",
         codec: codec_module.FrameCodec,
         counters: "observability.Counters",
-        heartbeat: "abc.Callable[[], messages.Message]",
+        heartbeat: "abc.Callable[[], messages.Message | None]",
     ) -> None:
         self._connection = connection
         self._codec = codec
@@ -183,7 +184,9 @@
             async with asyncio.timeout(HEARTBEAT_S if self._active else IDLE_HEARTBEAT_S):
                 await self._wake.wait()
         except TimeoutError:
-            self._outbox.append(self._heartbeat())
+            heartbeat = self._heartbeat()
+            if heartbeat is not None:
+                self._outbox.append(heartbeat)
 
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/unit/dispatch/conftest.py
+++ b/tests/unit/dispatch/conftest.py
@@ -368,10 +368,14 @@
 
     def _beat(self) -> None:
         for each in self.connections:
-            if each.entry_end.hello is not None:
-                each.entry_end.post(each.entry.agents.heartbeat(each.entry_end.hello))
-            if any(ledger.link is each.agent_end for ledger in each.agent.controller.ledgers):
-                each.agent_end.post(each.agent.links._heartbeat(each.agent_end))
+            hello = each.entry_end.hello
+            of_entry = each.entry.agents.heartbeat(hello) if hello is not None else None
+            for end, beat in (
+                (each.entry_end, of_entry),
+                (each.agent_end, each.agent.links._heartbeat(each.agent_end)),
+            ):
+                if beat is not None:
+                    end.post(beat)
 
     def _sweep(self) -> None:
         for entry in self.entries:
--- a/tests/unit/wire/test_link.py
+++ b/tests/unit/wire/test_link.py
@@ -18,6 +18,7 @@
         self.frames: asyncio.Queue[bytes] = asyncio.Queue()
         self.is_full = is_full
         self.closed = asyncio.Event()
+        self.sent: list[bytes] = []
 
     def abort(self) -> None:
         """End the connection."""
@@ -36,6 +37,7 @@
 
     async def send(self, frame: bytes) -> None:
         """Send a frame."""
+        self.sent.append(frame)
         if self.is_full:
             await self.closed.wait()
             raise websockets.exceptions.ConnectionClosedError(None, None)
@@ -104,6 +106,18 @@
         assert not link.is_suspect
 
 
+@pytest.mark.looptime
+async def test_nothing_is_sent_before_there_is_a_heartbeat() -> None:
+    """Guards against a handshake with a slow peer that fails as a heartbeat comes in between."""
+    connection = _Connection(is_full=False)
+    async with wire.Link(connection, wire.FrameCodec(), observability.Counters(), lambda: None) as link:  # type: ignore[arg-type]
+        await asyncio.sleep(2 * wire.HEARTBEAT_S)
+        assert not connection.sent
+        link.post(BEAT)
+        await asyncio.sleep(0)
+        assert connection.sent == [wire.FrameCodec().encode(BEAT)]
+
+
 @pytest.mark.looptime
 async def test_cancellation_while_a_link_closes_is_not_lost() -> None:
     """Guards against a stop that waits for ever for a task that took its cancellation for that of the link's writer."""
