Plan the dispatch of large fleets in groups of workers

The profile showed the plan, not the sums over workers.

Above 24 workers the dispatcher plans groups apart, over the shared queue; only groups with a change are planned. Slots of workers and their times are worked out on demand.

Admission still looks at every worker for each job.

Ruled out: exact incremental reservations, since the plan depends on the time, and a cheaper exact search for the slot alone, since the number of tasks planned grows with the fleet as well.

Tests run: make check, tests/unit/dispatch.

--- /dev/null
+++ b/scripts/measure_dispatch.py
@@ -0,0 +1,182 @@
+"""Measures the CPU time that an entry's dispatcher takes per task, by the number of workers of one workspace.
+
+The dispatcher is the real one. Its links are stand-ins whose agents complete every task after its run time, on a clock
+that is advanced from event to event, so that a machine that is busy otherwise changes no decision.
+"""
+
+import asyncio
+import cProfile
+import heapq
+import pathlib
+import pstats
+import statistics
+import time
+from typing import Any
+
+import click
+
+from cactusgauge import configuration, dispatch, ids, jobs, load, observability, wire
+from cactusgauge.dispatch import worker_groups
+
+MIX = pathlib.Path(__file__).parent.parent / "examples" / "mixes" / "deployment.yaml"
+WORKSPACE = ids.WorkspaceName("cheese")
+WARM_UP_S = 1.0
+DEADLINE_MS = 60_000
+
+
+class SteppedLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock stands still unless `now` is changed."""
+
+    now = 0.0
+
+    def time(self) -> float:
+        """Return the set time."""
+        return self.now
+
+
+class StandInLink:
+    """Takes an agent's messages and notes when each of its tasks ends."""
+
+    is_suspect = False
+
+    def __init__(self, number: int, speed: float, run: "Run") -> None:
+        self.number = number
+        self.last_assign = 0
+        self._speed = speed
+        self._run = run
+
+    def set_active(self, active: bool) -> None:
+        """Ignore how often heartbeats are due."""
+
+    def post(self, message: Any) -> None:
+        """Start the tasks of an `Assign`."""
+        self.last_assign = message.number
+        for start in message.starts:
+            self._run.start(self.number, start, self._speed)
+
+
+class Run:
+    """One dispatcher with its workers and the jobs that arrive."""
+
+    def __init__(self, workers: int, load_share: float, duration_s: float, loop: SteppedLoop) -> None:
+        mix = load.MixLoader(MIX).load()
+        speeds = [mix.fleet.speeds[number % len(mix.fleet.speeds)] for number in range(workers)]
+        fleet = mix.fleet.model_copy(update={"speeds": speeds})
+        mix = mix.model_copy(update={"fleet": fleet, "load": load_share, "duration_s": duration_s})
+        config = configuration.WorkspaceConfig(name=WORKSPACE, max_queued_tasks=1_000_000, max_running_tasks=100_000)
+        self._loop = loop
+        self._fleet = fleet
+        self._ratios: list[float] = []
+        self._plan = load.draw_plan(mix)
+        self._ends: list[tuple[float, int, int, wire.Start, float]] = []
+        self._started = 0
+        self.dispatcher = dispatch.Dispatcher(
+            config, observability.Counters(), observability.EventRing("measure"), self._finish
+        )
+        self._links = [StandInLink(number, speed, self) for number, speed in enumerate(speeds)]
+        self._workers = [self._attach(link) for link in self._links]
+
+    def start(self, worker: int, start: wire.Start, speed: float) -> None:
+        """Note the end of a task that starts now."""
+        run_s = self._plan[start.number].tasks[start.task].run_ms / 1000 / speed
+        self._started += 1
+        heapq.heappush(self._ends, (self._loop.now + run_s, self._started, worker, start, run_s))
+
+    async def measure(self, limit_s: float, profile: cProfile.Profile | None) -> dict[str, float]:
+        """Run until the arrivals end or the measured part took `limit_s`; return the CPU time per completed task."""
+        arrivals = iter(enumerate(self._plan))
+        arrival = next(arrivals, None)
+        spent = admitted = completed = queued = 0.0
+        while arrival is not None and spent < limit_s:
+            is_end = bool(self._ends) and self._ends[0][0] <= arrival[1].at_s
+            self._loop.now = self._ends[0][0] if is_end else arrival[1].at_s
+            measures = self._loop.now >= WARM_UP_S
+            if profile is not None and measures:
+                profile.enable()
+            job = None if is_end else self._job(*arrival)
+            began = time.thread_time()
+            if job is None:
+                _, _, worker, start, run_s = heapq.heappop(self._ends)
+                self._end(worker, start, run_s)
+            else:
+                self.dispatcher.admit(job)
+            now = time.thread_time()
+            await asyncio.sleep(0)  # the dispatch that was scheduled runs here
+            if measures:
+                spent += time.thread_time() - began
+                admitted += 0 if is_end else now - began
+                completed += is_end
+                queued += self.dispatcher.queued_count if is_end else 0
+            if profile is not None:
+                profile.disable()
+            if not is_end:
+                arrival = next(arrivals, None)
+        return {
+            "us_per_task": 1e6 * (spent - admitted) / completed,
+            "admission_us_per_task": 1e6 * admitted / completed,
+            "tasks": completed,
+            "mean_queued": queued / completed,
+            "ratio": statistics.mean(self._ratios),
+        }
+
+    def _attach(self, link: Any) -> dispatch.RemoteWorker:
+        name = ids.AgentName(f"agent-{link.number}")
+        hello = wire.AgentHello(
+            wire.PROTOCOL_VERSION, name, ids.AgentIncarnation(name), WORKSPACE, ids.DataCentreName("serra"), 8, ""
+        )
+        worker = self.dispatcher.find_worker(hello)
+        self.dispatcher.attach(worker, link, wire.Resume(0, 8, True, 1))
+        return worker
+
+    def _job(self, number: int, planned: load.PlannedJob) -> jobs.Job:
+        tasks = [jobs.TaskRequest(payload="", kind=task.kind, duration_ms=task.declared_ms) for task in planned.tasks]
+        request = jobs.JobRequest(tasks, DEADLINE_MS, b"digest")
+        return jobs.Job(ids.JobId(ids.SessionId("s"), number), request, self._loop.now, DEADLINE_MS)
+
+    def _finish(self, job: jobs.Job) -> None:
+        if job.accepted_at >= WARM_UP_S:
+            self._ratios.append((self._loop.now - job.accepted_at) / self._plan[job.id.number].ideal_s(self._fleet))
+
+    def _end(self, number: int, start: wire.Start, run_s: float) -> None:
+        worker = self._workers[number]
+        outcome = wire.Outcome(start.session, start.number, start.task, "completed", "", b"", run_s * 1000)
+        results = wire.Results(worker.last_result_number + 1, self._links[number].last_assign, 8, [outcome])
+        self.dispatcher.take_results(worker, results)
+
+
+@click.command()
+@click.option("--workers", default="11,100,570", show_default=True, help="Numbers of workers, separated by commas.")
+@click.option("--loads", default="0.5,0.8,1.2", show_default=True, help="Shares of the capacity; above 1 tasks queue.")
+@click.option("--duration", default=3.0, show_default=True, help="Seconds of arrivals, of which 1 s is warm-up.")
+@click.option("--limit", default=10.0, show_default=True, help="CPU seconds after which a run is cut short.")
+@click.option("--group", type=int, help="Workers planned together, instead of the dispatcher's own limit.")
+@click.option("--profile", "profiles", is_flag=True, help="Print where the time goes; this slows the run down.")
+def main(workers: str, loads: str, duration: float, limit: float, group: int | None, profiles: bool) -> None:
+    """Print a table of the CPU time per task: outcome and dispatch, and admission of the jobs."""
+    if group is not None:
+        worker_groups.GROUP_WORKERS = group
+    click.echo("| workers | load | tasks | mean queue | µs per task | µs of admission | mean ratio |")
+    click.echo("|---|---|---|---|---|---|---|")
+    for count in [int(text) for text in workers.split(",")]:
+        for load_share in [float(text) for text in loads.split(",")]:
+            profile = cProfile.Profile() if profiles else None
+            loop = SteppedLoop()
+            with asyncio.Runner(loop_factory=lambda loop=loop: loop) as runner:  # type: ignore[misc]
+                result = runner.run(_measure(count, load_share, duration, loop, limit, profile))
+            click.echo(
+                f"| {count} | {load_share:g} | {result['tasks']:.0f} | {result['mean_queued']:.0f} "
+                f"| {result['us_per_task']:.0f} | {result['admission_us_per_task']:.0f} "
+                f"| {result['ratio']:.2f} |"
+            )
+            if profile is not None:
+                pstats.Stats(profile).sort_stats("tottime").print_stats(14)
+
+
+async def _measure(
+    workers: int, load_share: float, duration_s: float, loop: SteppedLoop, limit_s: float, profile: Any
+) -> dict[str, float]:
+    return await Run(workers, load_share, duration_s, loop).measure(limit_s, profile)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
     placement,
     remote_worker,
     speed_book,
+    worker_groups,
     worker_health,
     worker_slots,
 )
@@ -75,6 +76,7 @@
         self._events = events
         self._on_finished = on_finished
         self._workers: dict[ids.AgentName, remote_worker.RemoteWorker] = {}
+        self._groups = worker_groups.WorkerGroups()
         self._jobs: dict[ids.JobId, jobs.Job] = {}
         self._speeds = speed_book.SpeedBook()
         self._health = worker_health.WorkerHealth(config.name, counters, events, self._available_count)
@@ -112,7 +114,7 @@
     @property
     def running_count(self) -> int:
         """Number of tasks in flight."""
-        return sum(len(worker.in_flight) for worker in self._workers.values())
+        return self._groups.running_count
 
     @property
     def open_jobs(self) -> list[jobs.Job]:
@@ -135,6 +137,7 @@
         for job in self._jobs.values():
             if job.queued_count:
                 self._queue.add(job, [task.index for task in job.queued_tasks])
+        self._groups.touch_all()
 
     def admit(self, job: jobs.Job) -> None:
         """Queue a whole job, or raise a `RequestError` and queue nothing of it."""
@@ -149,6 +152,7 @@
         self._counters.add("jobs_accepted", self.workspace, "")
         self._counters.add("tasks_accepted", self.workspace, "", job.task_count)
         self._events.record("job_accepted", job=str(job.id), tasks=job.task_count, workspace=self.workspace)
+        self._groups.touch_some(job.task_count)
         self.schedule()
 
     def cancel(self, job: jobs.Job) -> None:
@@ -185,7 +189,9 @@
             if known.link is not None:
                 known.link.abort()
         self._workers[worker.name] = worker
-        for task_id in worker.attach(link, resume):
+        returned = worker.attach(link, resume)
+        self._groups.put(worker)
+        for task_id in returned:
             self._return_to_queue(task_id)
         self.schedule()
 
@@ -206,12 +212,14 @@
         if refused and worker.free_slots:
             # The agent still runs tasks that were given up here, so its credit would be answered by refusals only.
             worker.pause(asyncio.get_running_loop().time())
+        self._groups.touch(worker)
         self.schedule()
 
     def take_state(self, worker: remote_worker.RemoteWorker, state: wire.AgentState) -> None:
         """Take in a change of an agent's credit or state."""
         worker.acknowledge(state.assign_ack)
         worker.update_state(state.credit, state.serving)
+        self._groups.touch(worker)
         self.schedule()
 
     def sweep(self) -> None:
@@ -225,6 +233,7 @@
         for worker in list(self._workers.values()):
             if worker.lost_since is not None and now - worker.lost_since > AGENT_LOST_S:
                 self._abandon(worker, jobs.Reason.AGENT_LOST)
+        self._groups.touch_all()
         self.schedule()
 
     def _usable_workers(self, now: float) -> list[remote_worker.RemoteWorker]:
@@ -234,9 +243,9 @@
             if worker.is_available(now) and self._health.allowed(worker.name, now) is None
         ]
 
-    def _slots(self, now: float) -> list[worker_slots.WorkerSlots]:
+    def _slots(self, workers: "abc.Iterable[remote_worker.RemoteWorker]", now: float) -> list[worker_slots.WorkerSlots]:
         slots = []
-        for worker in self._workers.values():
+        for worker in workers:
             if not worker.is_available(now):
                 continue
             allowed = self._health.allowed(worker.name, now)
@@ -253,43 +262,83 @@
     def _dispatch(self) -> None:
         self._dispatch_scheduled = False
         now = asyncio.get_running_loop().time()
+        stride = len(self._groups)
+        for group in self._groups.take_touched():
+            self._send(group, self._plan(group, stride, now), now)
+            group.count()
+            stride -= 1
+        self._replan_later()
+
+    def _plan(
+        self, group: worker_groups.WorkerGroup, stride: int, now: float
+    ) -> dict[ids.AgentName, list[placement.Placed]]:
+        """Place tasks within a group. It considers one in `stride` tasks, as that many groups share the queue."""
+        group.replan_at = None
         batches: dict[ids.AgentName, list[placement.Placed]] = {}
-        if self._queue:
-            slots = self._slots(now)
-            budget = self._config.max_running_tasks - self.running_count
-            waiting = ((job, task) for job, task in self._queue.tasks() if now < job.deadline)
-            placed = self._placement.plan(waiting, slots, self._speeds, now, budget)
-            for each in placed:
-                each.job.send(each.task.index)
-                self._queue.take(each.job, each.task)
-                batches.setdefault(each.worker.name, []).append(each)
-            if self._queue and len(placed) < min(budget, sum(each.free for each in slots)):
-                self._replan_later()
-        self._send(batches, now)
+        if not self._queue:
+            return batches
+        slots = self._slots(group.workers, now)
+        budget = self._config.max_running_tasks - self.running_count
+        free = min(budget, sum(each.free for each in slots))
+        if free <= 0:
+            return batches
+        considered = 0
+
+        def waiting() -> "abc.Iterator[tuple[jobs.Job, jobs.Task]]":
+            nonlocal considered
+            for job, task in self._queue.tasks(stride):
+                if now < job.deadline:
+                    considered += 1
+                    yield job, task
+
+        placed = self._placement.plan(waiting(), slots, self._speeds, now, budget)
+        for each in placed:
+            each.job.send(each.task.index)
+            self._queue.take(each.job, each.task)
+            batches.setdefault(each.worker.name, []).append(each)
+        if self._queue and len(placed) < free:
+            # If every task that was considered got a slot, the others may get one too.
+            is_exhausted = placed and len(placed) == considered
+            group.replan_at = now if is_exhausted else now + REPLAN_S
+        return batches
 
     def _replan_later(self) -> None:
         """Plan again soon, as a task may wait for a slot that turns out to be late."""
+        due = self._groups.next_replan_at
+        if due is None or (self._replan is not None and self._replan.when() <= due):
+            return
         if self._replan is not None:
             self._replan.cancel()
-        self._replan = asyncio.get_running_loop().call_later(REPLAN_S, self.schedule)
-
-    def _send(self, batches: dict[ids.AgentName, list[placement.Placed]], now: float) -> None:
-        for worker in self._workers.values():
-            batch = batches.get(worker.name, [])
-            if batch:
-                starts = [(each.job, each.task, each.run_s) for each in batch]
-                number = worker.assign(starts, len(self._queue), now).number
-                self._counters.add("tasks_sent", self.workspace, "", len(batch))
-                for each in batch:
-                    self._events.record(
-                        "task_sent",
-                        job=str(each.job.id),
-                        task=each.task.index,
-                        worker=worker.name,
-                        assign=number,
-                    )
-            elif self._queue and not worker.shown_demand and not worker.free_slots and worker.is_available(now):
-                worker.assign([], len(self._queue), now)
+        self._replan = asyncio.get_running_loop().call_at(due, self._plan_again)
+
+    def _plan_again(self) -> None:
+        self._replan = None
+        self._groups.touch_due(asyncio.get_running_loop().time())
+        self._groups.touch_some(1)  # a task that waits in one group may find a faster slot free in another
+        self.schedule()
+
+    def _send(
+        self, group: worker_groups.WorkerGroup, batches: dict[ids.AgentName, list[placement.Placed]], now: float
+    ) -> None:
+        for batch in batches.values():
+            worker = batch[0].worker
+            starts = [(each.job, each.task, each.run_s) for each in batch]
+            number = worker.assign(starts, len(self._queue), now).number
+            self._counters.add("tasks_sent", self.workspace, "", len(batch))
+            for each in batch:
+                self._events.record(
+                    "task_sent",
+                    job=str(each.job.id),
+                    task=each.task.index,
+                    worker=worker.name,
+                    assign=number,
+                )
+        if not self._queue:
+            return
+        for worker in group.workers:
+            if worker.shown_demand or worker.name in batches or worker.free_slots or not worker.is_available(now):
+                continue
+            worker.assign([], len(self._queue), now)
 
     def _take_outcome(self, worker: remote_worker.RemoteWorker, outcome: wire.Outcome) -> str:
         """Take in one outcome; return why it is of no use, or an empty string."""
@@ -350,6 +399,7 @@
         if job is None or not job.return_to_queue(task_id.task):
             return
         self._queue.add(job, [task_id.task])
+        self._groups.touch_some(1)
         self._counters.add("tasks_returned", self.workspace, "")
         if job.refusal is not None:
             self._refuse_queued(job, job.refusal)
--- a/src/cactusgauge/dispatch/job_queue.py
+++ b/src/cactusgauge/dispatch/job_queue.py
@@ -84,11 +84,14 @@
             self._count -= len(waiting.tasks)
             self._drop(waiting)
 
-    def tasks(self) -> "abc.Iterator[tuple[jobs.Job, jobs.Task]]":
-        """Yield the waiting tasks, next one first; the queue must not change meanwhile."""
+    def tasks(self, step: int = 1) -> "abc.Iterator[tuple[jobs.Job, jobs.Task]]":
+        """Yield the first waiting task and every `step`th after it; the queue must not change meanwhile."""
+        skip = 0
         for waiting in self._places.values():
-            for _, index in waiting.tasks:
-                yield waiting.job, waiting.job.task_at(index)
+            count = len(waiting.tasks)
+            for position in range(skip, count, step):
+                yield waiting.job, waiting.job.task_at(waiting.tasks[position][1])
+            skip = (skip - count) % step
 
     def work_before(self, key: float) -> float:
         """Return the expected work, in seconds at slowness 1, of the waiting tasks of jobs up to a rank."""
--- a/src/cactusgauge/dispatch/placement.py
+++ b/src/cactusgauge/dispatch/placement.py
@@ -108,29 +108,35 @@
         self, slots: "collections_abc.Sequence[worker_slots.WorkerSlots]", speeds: "speed_book.SpeedBook", now: float
     ) -> None:
         self._speeds = speeds
-        self._workers = [each.worker for each in slots if each.free or each.busy_until]
-        self._free_at = [[now] * each.free + each.busy_until for each in slots if each.free or each.busy_until]
-        for times in self._free_at:
-            heapq.heapify(times)
+        self._now = now
+        self._slots = [each for each in slots if each.count]
+        self._names = [each.worker.name for each in self._slots]
+        self._first_free_at = [now if each.free else min(each.busy_until) for each in self._slots]
+        self._free_at: dict[int, list[float]] = {}
         self._slowness: dict[str, list[float]] = {}
 
     @property
     def slot_count(self) -> int:
-        return sum(len(times) for times in self._free_at)
+        return sum(each.count for each in self._slots)
 
     def reserve(self, task: "jobs.Task") -> "tuple[remote_worker.RemoteWorker, float, float]":
         """Reserve the slot on which a task ends first; return its worker, the start and the run time in seconds."""
         kind = task.request.kind
         slowness = self._slowness.get(kind)
         if slowness is None:
-            slowness = [self._speeds.slowness(worker.name, kind) for worker in self._workers]
-            self._slowness[kind] = slowness
+            slowness = self._slowness[kind] = self._speeds.slowness_of_all(self._names, kind)
         run_s = self._speeds.expected_run_s(task.request)
-        ends = [times[0] + run_s * slow for times, slow in zip(self._free_at, slowness, strict=True)]
+        ends = [first + run_s * slow for first, slow in zip(self._first_free_at, slowness, strict=True)]
         end = min(ends)
         chosen = ends.index(end)
-        start = heapq.heapreplace(self._free_at[chosen], end)
-        return self._workers[chosen], start, run_s * slowness[chosen]
+        slots = self._slots[chosen]
+        times = self._free_at.get(chosen)
+        if times is None:
+            times = self._free_at[chosen] = [self._now] * slots.free + slots.busy_until
+            heapq.heapify(times)
+        start = heapq.heapreplace(times, end)
+        self._first_free_at[chosen] = times[0]
+        return slots.worker, start, run_s * slowness[chosen]
 
 
 def _place(
--- a/src/cactusgauge/dispatch/speed_book.py
+++ b/src/cactusgauge/dispatch/speed_book.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge import ids, jobs
 
 DEFAULT_RUN_S = 0.3  # prior for a kind of task without a declaration, in the middle of 50 ms to 1 s
@@ -70,6 +72,14 @@
         ratio = known.ratios.get(worker) if known is not None else None
         return general.value if ratio is None else general.value * ratio.value
 
+    def slowness_of_all(self, workers: "abc.Iterable[ids.AgentName]", kind: str) -> list[float]:
+        """Return the learned slowness of several workers for a kind of task."""
+        known = self._kinds.get(kind)
+        ratios = known.ratios if known is not None else {}
+        unknown = _Average(1.0)
+        general, one = self._slowness.get, ratios.get
+        return [general(worker, unknown).value * one(worker, unknown).value for worker in workers]
+
     def is_learned(self, request: "jobs.TaskRequest") -> bool:
         """Whether the expected run time rests on completed tasks of that kind more than on a prior."""
         known = self._kinds.get(request.kind)
--- /dev/null
+++ b/src/cactusgauge/dispatch/worker_groups.py
@@ -0,0 +1,98 @@
+"""The workers of a workspace in groups that are planned apart."""
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cactusgauge import ids
+    from cactusgauge.dispatch import remote_worker
+
+# A plan takes time in proportion to tasks times workers; 192 slots are enough to find a fast one that is soon free.
+GROUP_WORKERS = 24
+TIMER_SLACK_S = 0.001  # the event loop may run a timer a little early
+
+
+class WorkerGroup:
+    """Some workers of a workspace, with their tasks in flight and free slots as last counted.
+
+    `replan_at` is when to plan again although none of the workers changes, or None.
+    """
+
+    def __init__(self, workers: "list[remote_worker.RemoteWorker]") -> None:
+        self.workers = workers
+        self.running = 0
+        self.free = 0
+        self.replan_at: float | None = None
+
+    def count(self) -> None:
+        """Count the tasks in flight and the free slots anew."""
+        self.running = sum(len(worker.in_flight) for worker in self.workers)
+        self.free = sum(worker.free_slots for worker in self.workers)
+
+
+class WorkerGroups:
+    """Divides the workers evenly and remembers which groups have to be planned.
+
+    Up to GROUP_WORKERS workers are one group, in the order in which they linked first.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[ids.AgentName, remote_worker.RemoteWorker] = {}
+        self._groups: list[WorkerGroup] = []
+        self._group_of: dict[ids.AgentName, WorkerGroup] = {}
+        self._touched: dict[WorkerGroup, None] = {}
+        self._next = 0
+
+    def __len__(self) -> int:
+        return len(self._groups)
+
+    @property
+    def running_count(self) -> int:
+        """Number of tasks in flight."""
+        for group in self._touched:
+            group.count()
+        return sum(group.running for group in self._groups)
+
+    @property
+    def next_replan_at(self) -> float | None:
+        """The earliest time at which a group has to be planned again."""
+        return min((group.replan_at for group in self._groups if group.replan_at is not None), default=None)
+
+    def put(self, worker: "remote_worker.RemoteWorker") -> None:
+        """Add a worker, or replace the one of the same name."""
+        self._workers[worker.name] = worker
+        count = -(-len(self._workers) // GROUP_WORKERS)
+        workers = list(self._workers.values())
+        self._groups = [WorkerGroup(workers[number::count]) for number in range(count)]
+        self._group_of = {member.name: group for group in self._groups for member in group.workers}
+        self._touched = dict.fromkeys(self._groups)
+
+    def touch(self, worker: "remote_worker.RemoteWorker") -> None:
+        """Have the group of a worker planned, as the worker changed."""
+        group = self._group_of.get(worker.name)
+        if group is not None:
+            self._touched[group] = None
+
+    def touch_all(self) -> None:
+        """Have all groups planned."""
+        self._touched = dict.fromkeys(self._groups)
+
+    def touch_some(self, count: int) -> None:
+        """Have at most `count` groups planned in turn, as so many tasks wait; those with free slots if any has."""
+        candidates = [group for group in self._groups if group.free] or self._groups
+        for _ in range(min(count, len(candidates))):
+            self._next = (self._next + 1) % len(candidates)
+            self._touched[candidates[self._next]] = None
+
+    def touch_due(self, now: float) -> None:
+        """Have the groups planned whose time to plan again has come."""
+        for group in self._groups:
+            if group.replan_at is not None and group.replan_at <= now + TIMER_SLACK_S:
+                self._touched[group] = None
+
+    def take_touched(self) -> list[WorkerGroup]:
+        """Return the groups to be planned, their running tasks counted, and forget that they were touched."""
+        touched = list(self._touched)
+        for group in touched:
+            group.count()
+        self._touched.clear()
+        return touched
--- a/src/cactusgauge/dispatch/worker_slots.py
+++ b/src/cactusgauge/dispatch/worker_slots.py
@@ -9,14 +9,28 @@
 
 
 class WorkerSlots:
-    """How many slots of a worker may be used now, and when its busy slots are expected to be free."""
+    """How many slots of a worker may be used now, and when its busy slots are expected to be free.
 
-    __slots__ = ("busy_until", "free", "worker")
+    The times are worked out on demand, as most plans do not look beyond the free slots of most workers.
+    """
+
+    __slots__ = ("_now", "free", "worker")
 
     def __init__(self, worker: "remote_worker.RemoteWorker", free: int, now: float) -> None:
         self.worker = worker
         self.free = free
-        self.busy_until = [
-            now + max(task.expected_end - now, OVERDUE_SHARE * (now - task.sent_at))
-            for task in worker.in_flight.values()
+        self._now = now
+
+    @property
+    def count(self) -> int:
+        """Number of slots that are free or busy."""
+        return self.free + len(self.worker.in_flight)
+
+    @property
+    def busy_until(self) -> list[float]:
+        """Loop times at which the busy slots are expected to be free."""
+        now = self._now
+        return [
+            expected_end if expected_end > (overdue_end := now + OVERDUE_SHARE * (now - sent_at)) else overdue_end
+            for _, sent_at, expected_end in self.worker.in_flight.values()
         ]
--- a/tests/unit/dispatch/test_dispatcher_policy.py
+++ b/tests/unit/dispatch/test_dispatcher_policy.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from cactusgauge import exceptions, ids, jobs
+from cactusgauge import configuration, exceptions, ids, jobs
+from cactusgauge.dispatch import worker_groups
 from tests.unit.dispatch import bench as bench_module
 
 pytestmark = pytest.mark.looptime
@@ -144,3 +145,42 @@
 
     assert [start.task for start in made.links[0].starts()] == [0, 1, 0]
     assert made.finished[0].state is jobs.JobState.FAILED
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("placement", configuration.PlacementName)
+async def test_groups_of_workers_leave_no_task_and_no_slot_behind(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch, placement: configuration.PlacementName, seed: int
+) -> None:
+    """Guards against slots of groups that nobody plans, wrong counts of running tasks, and second starts."""
+    monkeypatch.setattr(worker_groups, "GROUP_WORKERS", 3)
+    source = random.Random(seed)
+    refuses = seed % 2 == 1
+    made = bench(10, slots=2, placement=placement, max_running_tasks=18)
+    admitted = [_job(number, source.choice([1, 1, 2, 7, 25]), 1_000_000) for number in range(60)]
+    for job in admitted:
+        made.dispatcher.admit(job)
+        await asyncio.sleep(source.choice([0.001, 0.03, 0.1]))
+        if refuses:
+            made.dispatcher.sweep()  # as an entry does every 250 ms; finds the workers whose pause is over
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.001)
+        running = sum(len(worker.in_flight) for worker in made.workers)
+        assert made.dispatcher.running_count == running <= 18
+        if placement is not configuration.PlacementName.WAIT_FOR_FASTER:
+            idle = any(worker.free_slots and worker.is_available(now) for worker in made.workers)
+            assert running == 18 or not made.dispatcher.queued_count or not idle
+        for number in source.sample(range(10), 4):
+            is_refused = refuses and source.random() < 0.5
+            made.answer(number, "not_run" if is_refused else "completed", "no_slot" if is_refused else "", count=1)
+    for _ in range(300):
+        if refuses:
+            made.dispatcher.sweep()
+        await asyncio.sleep(0.1)
+        for number in range(10):
+            made.answer(number, "completed")
+
+    assert {job.id for job in made.finished} == {job.id for job in admitted}
+    starts = sum(len(link.starts()) for link in made.links)
+    assert starts == made.counters.get("tasks_completed") + made.counters.get("tasks_returned")
+    assert made.dispatcher.queued_count == made.dispatcher.running_count == 0
--- a/tests/unit/dispatch/test_policies.py
+++ b/tests/unit/dispatch/test_policies.py
@@ -31,7 +31,9 @@
     for pick, sends in steps:
         waiting = [job for job in made if job.queued_count]
         assert len(queue) == sum(job.queued_count for job in waiting)
-        assert sorted((job.id, task.index) for job, task in queue.tasks()) == sorted(
+        in_order = list(queue.tasks())
+        assert list(queue.tasks(1 + pick % 5)) == in_order[:: 1 + pick % 5]
+        assert sorted((job.id, task.index) for job, task in in_order) == sorted(
             (job.id, task.index) for job in waiting for task in job.queued_tasks
         )
         if waiting:
