Show the health of workers in the status

Cause: quarantines were visible only in events and a counter. Each worker in /v1/status has `health`, and `cactusgauge status` has a column HEALTH that names the entries which judge a worker otherwise than healthy, since each entry judges for itself.

--- a/src/cactusgauge/console/status_command.py
+++ b/src/cactusgauge/console/status_command.py
@@ -7,7 +7,7 @@
 
 import click
 
-from cactusgauge import client
+from cactusgauge import client, dispatch
 from cactusgauge.console import exit_codes, options, table
 
 
@@ -38,12 +38,23 @@
     headers: tuple[str, ...] = ("ENTRY", "URL", "DATA CENTRE", "STATE", "CONFIG", "SESSIONS", "PEERS ALIVE")
     click.echo(table.format_table(headers, [_entry_row(entry) for entry in found]))
     workspaces = [row for entry in found for row in _workspace_rows(entry)]
+    health = _health_at_entries(found)
     if workspaces:
         headers = ("WORKSPACE", "ENTRY", "NEW SESSIONS AT", "OPEN JOBS", "QUEUED", "RUNNING", "WORKERS")
         click.echo("\n" + table.format_table(headers, sorted(workspaces)))
     if agents:
-        headers = ("AGENT", "URL", "WORKSPACE", "DATA CENTRE", "STATE", "SLOTS USED", "BACKEND SERVER", "LINKS")
-        click.echo("\n" + table.format_table(headers, [_agent_row(agent) for agent in agents]))
+        headers = (
+            "AGENT",
+            "URL",
+            "WORKSPACE",
+            "DATA CENTRE",
+            "STATE",
+            "HEALTH",
+            "SLOTS USED",
+            "BACKEND SERVER",
+            "LINKS",
+        )
+        click.echo("\n" + table.format_table(headers, [_agent_row(agent, health) for agent in agents]))
     elif any(entry.document for entry in found):
         click.echo("\nno agent is known to these entries; check the agents' seeds")
     for process in processes:
@@ -84,9 +95,21 @@
     ]
 
 
-def _agent_row(agent: client.ProcessState) -> tuple[object, ...]:
+def _health_at_entries(entries: list[client.ProcessState]) -> dict[str, str]:
+    """Return the health of each worker; entries that judge it otherwise than healthy are named."""
+    judged: dict[str, list[str]] = {}
+    for entry in entries:
+        for each in entry.document["workspaces"] if entry.document else ():
+            for worker in each["workers"]:
+                unhealthy = judged.setdefault(worker["agent"], [])
+                if worker["health"] != dispatch.HealthState.HEALTHY.value:
+                    unhealthy.append(f"{worker['health']} at {entry.name}")
+    return {name: ", ".join(found) or dispatch.HealthState.HEALTHY.value for name, found in judged.items()}
+
+
+def _agent_row(agent: client.ProcessState, health: dict[str, str]) -> tuple[object, ...]:
     if agent.document is None:
-        return agent.name, agent.url, agent.workspace, "-", "no answer", "-", "-", "-"
+        return agent.name, agent.url, agent.workspace, "-", "no answer", health.get(agent.name, "-"), "-", "-", "-"
     document = agent.document
     server = document["backend_server"]
     state = _state(document) if server or document["draining"] else "no backend server"
@@ -96,6 +119,7 @@
         document["workspace"],
         document["data_centre"],
         state,
+        health.get(agent.name, "-"),
         f"{document['running']} of {document['slots']}",
         server["name"] if server else "-",
         len(document["links"]),
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -155,6 +155,7 @@
                             "linked": worker.link is not None,
                             "data_centre": worker.data_centre,
                             "available": worker.is_available(now),
+                            "health": each.health.state(worker.name).value,
                             "credit": worker.credit,
                             "in_flight": len(worker.in_flight),
                             "slowness": round(each.speeds.slowness(worker.name), 3),
