--- a/scripts/measure_reconciliation.py
+++ b/scripts/measure_reconciliation.py
@@ -28,7 +28,7 @@
 
 def _pair_bytes(tasks: int) -> int:
     """Return what one pair adds to an accounting record."""
-    pair = accounting.PairTotals("0" * 16, "agent-1", "cheese", tasks, tasks, tasks, tasks, 0, tasks * 300_000, 0)
+    pair = accounting.PairTotals("0" * 16, "agent-1", "cheese", tasks, tasks, tasks, tasks, 0, tasks * 300_000)
     base = accounting.AccountRecord(
         process="entry-1",
         role="entry",
