Check the lease again when a start is written to its connection

Cause of the late start of test_server_gets_no_start_after_it_left (seen once, 3.79 s after the server left): aiohttp writes headers and body one turn of the event loop after the request was made, and only the request checked the lease. An agent that is paused in that turn sends the starts of the turn after it was resumed. Trace of a scratch run with ten paused agents: task_started 1.5 ms before SIGSTOP, four starts at the server 20 ms after SIGCONT, 4.2 s later. Ruled out: a renewal that was late, and a leave that was lost, as the lease had expired at the agent either way. The window that is left is the one between the check and the system call, without a turn of the event loop in between.

--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from cactusgauge import ids, jobs, wire
+from cactusgauge.agent import leased_payload
 
 if TYPE_CHECKING:
     from collections import abc
@@ -96,9 +97,10 @@
         # Nothing is sent before there is a connection, so a start never leaves after the lease has expired.
         connect_s = max(MIN_CONNECT_S, lease.expires_at - asyncio.get_running_loop().time())
         timeout = aiohttp.ClientTimeout(total=None, connect=connect_s)
+        body = leased_payload.LeasedPayload(start.payload.encode(), self._lease, lease.id)
         try:
             async with self._session.post(
-                lease.url, data=start.payload.encode(), headers=headers, timeout=timeout, allow_redirects=False
+                lease.url, data=body, headers=headers, timeout=timeout, allow_redirects=False
             ) as response:
                 return await self._read(response)
         except aiohttp.ClientConnectorError:
@@ -106,6 +108,8 @@
         except aiohttp.ConnectionTimeoutError:
             return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
         except (aiohttp.ClientError, OSError):
+            if body.is_refused:
+                return jobs.TaskState.NOT_RUN, jobs.Reason.NO_BACKEND_SERVER, b""
             return jobs.TaskState.UNKNOWN, jobs.Reason.CONNECTION_LOST, b""
 
     @staticmethod
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -34,6 +34,13 @@
     code = "link_closed"
 
 
+class LeaseEndedError(CactusgaugeError):
+    """The lease of the backend server ended before a start was sent; nothing ran."""
+
+    code = "lease_ended"
+    ran = Ran.NOTHING
+
+
 class SettingsError(CactusgaugeError):
     """Settings have findings; the message lists all of them."""
 
--- a/tests/unit/agent/test_task_runner.py
+++ b/tests/unit/agent/test_task_runner.py
@@ -24,6 +24,7 @@
     def __init__(self, answer: bytes, keep_open: bool) -> None:
         self.seen: collections.Counter[str] = collections.Counter()
         self.url = ""
+        self.bytes_seen = b""
         self.connections = 0
         self._answer = answer
         self._keep_open = keep_open
@@ -41,7 +42,8 @@
         self.connections += 1
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                self.bytes_seen = await reader.read(1)
+                head = (self.bytes_seen + await reader.readuntil(b"\r\n\r\n")).decode()
                 fields = dict(line.split(": ", 1) for line in head.splitlines()[1:] if line)
                 await reader.readexactly(int(fields["Content-Length"]))
                 self.seen[fields[task_runner.TASK_HEADER]] += 1
@@ -71,6 +73,17 @@
         return await super()._create_connection(*arguments, **options)
 
 
+class _PausedLease(backend_server_lease.BackendServerLease):
+    """Ends once a request was made, as for a process that is paused between two turns of the event loop."""
+
+    uses_left = 2  # by `run` and by `_send`
+
+    @property
+    def valid(self) -> backend_server_lease.Lease | None:
+        self.uses_left -= 1
+        return super().valid if self.uses_left >= 0 else None
+
+
 async def _run(
     url: str,
     tasks: int = 1,
@@ -78,8 +91,9 @@
     connector: aiohttp.TCPConnector | None = None,
     ttl_s: float = 3.0,
     remaining_ms: int = 5_000,
+    lease_type: type[backend_server_lease.BackendServerLease] = backend_server_lease.BackendServerLease,
 ) -> list[wire.Outcome]:
-    lease = backend_server_lease.BackendServerLease()
+    lease = lease_type()
     conftest.grant_lease(lease, url, ttl_s)
     async with aiohttp.ClientSession(connector=connector, auto_decompress=False) as session:
         runner = runner_type(session, lease)
@@ -165,6 +179,15 @@
     assert not server.seen
 
 
+async def test_start_is_not_sent_under_a_lease_that_ended_after_the_request_was_made() -> None:
+    """Guards against new work for a server that left while the agent was paused in the middle of a start."""
+    server = _Server(_answer(), keep_open=True)
+    async with server.serving():
+        outcome = (await _run(server.url, lease_type=_PausedLease))[0]
+    assert (outcome.state, outcome.reason) == ("not_run", "no_backend_server")
+    assert not server.bytes_seen
+
+
 @pytest.mark.parametrize("keep_open", [True, False])
 async def test_pooled_connection_repeats_no_start(keep_open: bool) -> None:
     """Guards against a start that is sent again because the server closed an idle connection."""
