--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -1,12 +1,9 @@
 """Links from an agent to entries."""
 
 import asyncio
-import contextlib
-import random
+import functools
 from typing import TYPE_CHECKING
 
-import websockets.exceptions
-
 from cactusgauge import exceptions, wire
 
 if TYPE_CHECKING:
@@ -63,19 +60,12 @@
     def _update_dial_tasks(self) -> None:
         wanted = self._directory.wanted_urls()
         for url in wanted - self._dial_tasks.keys():
-            self._dial_tasks[url] = asyncio.create_task(self._dial_forever(url))
+            dialling = wire.redial_forever(functools.partial(self._dial, url), MIN_REDIAL_S, MAX_REDIAL_S)
+            self._dial_tasks[url] = asyncio.create_task(dialling)
         # A linked entry may own sessions, so only a link that is down anyway is given up.
         for url in self._dial_tasks.keys() - wanted - self._linked_urls:
             self._dial_tasks.pop(url).cancel()
 
-    async def _dial_forever(self, url: str) -> None:
-        while True:
-            with contextlib.suppress(
-                OSError, TimeoutError, websockets.exceptions.WebSocketException, exceptions.CactusgaugeError
-            ):
-                await self._dial(url)
-            await asyncio.sleep(random.uniform(MIN_REDIAL_S, MAX_REDIAL_S))
-
     async def _dial(self, url: str) -> None:
         connection = await wire.dial(url)
         link = wire.Link(connection, self._codec, self._counters, lambda: self._heartbeat(link))
--- a/src/cactusgauge/entry/peer_links.py
+++ b/src/cactusgauge/entry/peer_links.py
@@ -1,11 +1,9 @@
 """Links between entries."""
 
 import asyncio
-import contextlib
+import functools
 from typing import TYPE_CHECKING
 
-import websockets.exceptions
-
 from cactusgauge import exceptions, ids, wire
 
 if TYPE_CHECKING:
@@ -55,7 +53,8 @@
             while True:
                 urls = {*self._seeds, *(info.link_url for info in self._members.known)}
                 for url in urls - {self._members.own.link_url} - self._dial_tasks.keys():
-                    self._dial_tasks[url] = asyncio.create_task(self._dial_forever(url))
+                    dialling = wire.redial_forever(functools.partial(self._dial, url), REDIAL_S, REDIAL_S)
+                    self._dial_tasks[url] = asyncio.create_task(dialling)
                 await asyncio.sleep(DIAL_CHECK_S)
         finally:
             for task in self._dial_tasks.values():
@@ -99,14 +98,6 @@
             return successor
         return None
 
-    async def _dial_forever(self, url: str) -> None:
-        while True:
-            with contextlib.suppress(
-                OSError, TimeoutError, websockets.exceptions.WebSocketException, exceptions.CactusgaugeError
-            ):
-                await self._dial(url)
-            await asyncio.sleep(REDIAL_S)
-
     async def _dial(self, url: str) -> None:
         connection = await wire.dial(url)
         async with wire.Link(connection, self._codec, self._counters, self.beat) as link:
--- a/src/cactusgauge/wire/__init__.py
+++ b/src/cactusgauge/wire/__init__.py
@@ -1,7 +1,7 @@
 """Messages between our processes, their codec and the links that carry them."""
 
 from cactusgauge.wire.codec import MAX_FRAME_BYTES, FrameCodec
-from cactusgauge.wire.dial import dial
+from cactusgauge.wire.dial import dial, redial_forever
 from cactusgauge.wire.link import HEARTBEAT_S, SILENCE_S, Link
 from cactusgauge.wire.messages import (
     PROTOCOL_VERSION,
@@ -57,4 +57,5 @@
     "Start",
     "Welcome",
     "dial",
+    "redial_forever",
 ]
