Measure scheduling with several entries

Cause: the claim that several dispatchers are 15 to 20 % worse came from a model trial only. measure_policy.py takes numbers of entries; the load generator can open sessions so that every entry owns its share.

Tests run: make check, tests/unit/load, tests/unit/console.

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -3,13 +3,14 @@
 Each arm runs in a fresh set of processes; the arms of a case run one after the other with the same mix and seed.
 """
 
+import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -60,6 +61,13 @@
 @click.option("--worker", "faulty", multiple=True, help="NUMBER=OPTIONS for one backend server, such as '5=--fail 1'.")
 @click.option("--set", "overrides", default="{}", help="Further workspace settings as a JSON object.")
 @click.option("--output", type=click.Path(path_type=pathlib.Path), help="File to which a JSON line is added per run.")
+@click.option(
+    "--entries",
+    "entry_counts",
+    default="1",
+    show_default=True,
+    help="Numbers of entries, separated by commas; with '-spread' each entry owns its share of the sessions.",
+)
 @click.option("--profile", is_flag=True, help="Also print the CPU time of the entry.")
 def main(
     mix_name: str,
@@ -70,20 +78,21 @@
     faulty: tuple[str, ...],
     overrides: str,
     output: pathlib.Path | None,
+    entry_counts: str,
     profile: bool,
 ) -> None:
-    """Run every arm at every load and seed, alternating between the arms."""
+    """Run every arm at every load and seed, alternating between the arms and numbers of entries."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends the processes through the context managers
     mix_path = MIXES / f"{mix_name}.yaml"
     options = {int(number): text.split() for number, _, text in (each.partition("=") for each in faulty)}
     load_shares: list[float | None] = [float(text) for text in loads.split(",") if text]
     for load_share in load_shares or [None]:
         for seed in [int(text) for text in seeds.split(",")]:
-            for arm in arms:
+            for arm, entries in itertools.product(arms, entry_counts.split(",")):
                 ordering, _, placement = arm.partition("/")
                 workspace_settings = {"ordering": ordering, "placement": placement, **json.loads(overrides)}
-                result = _measure(mix_path, load_share, seed, duration, workspace_settings, options)
-                result |= {"arm": arm, "faulty": list(faulty), "overrides": overrides}
+                result = _measure(mix_path, load_share, seed, duration, workspace_settings, options, entries)
+                result |= {"arm": arm, "entries": entries, "faulty": list(faulty), "overrides": overrides}
                 click.echo(_describe(result, profile))
                 if output is not None:
                     with output.open("a") as lines:
@@ -97,15 +106,18 @@
     duration: float | None,
     workspace_settings: dict[str, Any],
     faulty: dict[int, list[str]],
+    entries: str,
 ) -> dict[str, Any]:
     mix = load.MixLoader(mix_path).load()
     with contextlib.ExitStack() as stack:
-        processes = _start(stack, mix, workspace_settings, faulty)
+        count, _, spread = entries.partition("-")
+        names = [f"entry-{number + 1}" for number in range(int(count))]
+        processes = _start(stack, mix, workspace_settings, faulty, names)
         time.sleep(SETTLE_S)
         machine_load = os.getloadavg()[0]
         entry_pid = processes[ENTRY].process.pid
         cpu_before = _cpu_s(entry_pid)
-        result = _run_load(processes, mix_path, load_share, seed, duration)
+        result = _run_load(processes, names, mix, load_share, seed, duration, bool(spread))
         result["entry_cpu_s"] = round(_cpu_s(entry_pid) - cpu_before, 2)
         result["machine_load"] = [round(machine_load, 1), round(os.getloadavg()[0], 1)]
         result["slowness"] = {
@@ -121,19 +133,26 @@
 
 
 def _start(
-    stack: contextlib.ExitStack, mix: load.Mix, workspace_settings: dict[str, Any], faulty: dict[int, list[str]]
+    stack: contextlib.ExitStack,
+    mix: load.Mix,
+    workspace_settings: dict[str, Any],
+    faulty: dict[int, list[str]],
+    entries: list[str],
 ) -> PolicyCluster:
     """Start all processes; start again if one does not come up, as its port may have been taken meanwhile."""
     for _ in range(MAX_STARTS):
         directory = pathlib.Path(tempfile.mkdtemp(prefix="measure-"))
         processes = PolicyCluster(directory, workspace_settings)
         try:
-            processes.start_entry(ENTRY)
+            for name in entries:
+                processes.start_entry(name)
             for number, speed in enumerate(mix.fleet.speeds):
                 options = ["--speed", str(speed), "--seed", str(number), *faulty.get(number, [])]
                 processes.start_worker(number, *options)
-            processes.wait_ready(ENTRY)
-            processes.wait_linked(ENTRY, len(mix.fleet.speeds))
+            processes.wait_ready(*entries)
+            for name in entries:
+                processes.wait_linked(name, len(mix.fleet.speeds))
+                processes.wait_peers(name, len(entries) - 1)
             _check_servers(processes, len(mix.fleet.speeds))
         except TimeoutError as error:
             click.echo(str(error), err=True)
@@ -157,17 +176,26 @@
 
 
 def _run_load(
-    processes: cluster.Cluster, mix_path: pathlib.Path, load_share: float | None, seed: int, duration: float | None
+    processes: cluster.Cluster,
+    entries: list[str],
+    mix: load.Mix,
+    load_share: float | None,
+    seed: int,
+    duration: float | None,
+    spreads_sessions: bool,
 ) -> dict[str, Any]:
-    command = [sys.executable, "-m", "cactusgauge.console.application", "load", str(mix_path), "--json"]
-    command += ["--entry", processes[ENTRY].http_url, "--seed", str(seed)]
-    if load_share is not None:
-        command += ["--load", str(load_share)]
-    if duration is not None:
-        command += ["--duration", str(duration)]
-    output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
-    report: dict[str, Any] = json.loads(output)[0]
-    return report
+    given = {"load": load_share, "seed": seed, "duration_s": duration}
+    changes = {name: value for name, value in given.items() if value is not None}
+    changed = load.Mix.model_validate({**mix.model_dump(), **changes})
+    urls = [processes[name].http_url for name in entries]
+    return asyncio.run(_generate_load(changed, urls, spreads_sessions))
+
+
+async def _generate_load(mix: load.Mix, urls: list[str], spreads_sessions: bool) -> dict[str, Any]:
+    before = await load.MessageCounts.read(urls)
+    records = await load.LoadGenerator(mix, load.draw_plan(mix), urls, spreads_sessions).run()
+    counts = (await load.MessageCounts.read(urls)).since(before)
+    return load.WorkspaceReport.build(mix, records, counts).as_dict()
 
 
 def _cpu_s(pid: int) -> float:
@@ -178,7 +206,8 @@
 def _describe(result: dict[str, Any], profile: bool) -> str:
     jobs = " ".join(f"{count} {state}" for state, count in result["jobs"].items() if count)
     line = (
-        f"{result['mix']} load {result['load']:g} seed {result['seed']} {result['arm']}: "
+        f"{result['mix']} load {result['load']:g} seed {result['seed']} {result['arm']} "
+        f"entries {result['entries']}: "
         f"mean {result['ratio_mean']:.2f} p50 {result['ratio_p50']:.2f} p99 {result['ratio_p99']:.2f} "
         f"max {result['ratio_max']:.2f}; {jobs}; {result['messages_per_task']:.2f} messages/task, "
         f"wasted {result['wasted_share']:.2%}; duplicates {result['duplicate_starts']}; "
--- a/src/cactusgauge/load/generator.py
+++ b/src/cactusgauge/load/generator.py
@@ -20,6 +20,7 @@
 OK = 200
 ACCEPTED = 202
 BAD_REQUEST = 400
+FORWARDED = {"Cactusgauge-Hop": "owner"}  # an entry opens a session itself if another entry forwarded the request
 
 
 class _RepeatedRequestError(aiohttp.ClientError):
@@ -29,15 +30,21 @@
 class LoadGenerator:
     """Submits each planned job at its time, whether or not earlier ones were answered.
 
-    A submission is sent once. If its reply is lost, the job counts as `unknown` and is not submitted again.
+    A submission is sent once. If its reply is lost, the job counts as `unknown` and is not submitted again. With
+    `spreads_sessions`, each entry owns the sessions that are opened there, whichever entry is preferred.
     """
 
     def __init__(
-        self, mix: "mix_module.Mix", plan: "list[plan_module.PlannedJob]", entry_urls: "abc.Sequence[str]"
+        self,
+        mix: "mix_module.Mix",
+        plan: "list[plan_module.PlannedJob]",
+        entry_urls: "abc.Sequence[str]",
+        spreads_sessions: bool = False,
     ) -> None:
         self._mix = mix
         self._plan = plan
         self._entry_urls = entry_urls
+        self._open_headers = FORWARDED if spreads_sessions else {}
         self._random = random.Random(mix.seed)
         self._open: dict[int, str] = {}
         self._cancelled: set[int] = set()
@@ -64,7 +71,7 @@
     async def _open_session(self, client: aiohttp.ClientSession, number: int) -> str:
         entry_url = self._entry_urls[number % len(self._entry_urls)]
         sessions_url = f"{entry_url}/v1/workspaces/{self._mix.workspace}/sessions"
-        async with client.post(sessions_url) as response:
+        async with client.post(sessions_url, headers=self._open_headers) as response:
             document = await response.json()
             if response.status != CREATED:
                 raise ConnectionError(f"{sessions_url}: {document.get('code')}: {document.get('message')}")
