Add cactusgauge drain: a planned stop of named entries and agents

The issue on operators' tools names the command and it was missing; operators had to send signals on single VMs. The request names the incarnation whose status was read, so that a process restarted since is not stopped. Weighed: a change of configuration that names processes to drain would survive its author, but would also stop a process that was started again under its name, and needs the log to be up. Tested with real processes: an entry drained under load, an agent, an unknown name, another incarnation.

--- a/src/cactusgauge/agent/agent_daemon.py
+++ b/src/cactusgauge/agent/agent_daemon.py
@@ -43,6 +43,11 @@
             log, own.name, "agent", self._incarnation, self._take_accounts, self._events, own.accounting_interval_s
         )
 
+    @property
+    def incarnation(self) -> str:
+        """Random id of this run of the agent."""
+        return self._incarnation
+
     @property
     def is_ready(self) -> bool:
         """Whether new work is taken."""
--- a/src/cactusgauge/client/process_directory.py
+++ b/src/cactusgauge/client/process_directory.py
@@ -22,6 +22,13 @@
     workspace: str
     document: dict[str, Any] | None
 
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the process, empty if it does not answer."""
+        if self.document is None:
+            return ""
+        return str(self.document["entry"]["incarnation"] if self.role == "entry" else self.document["incarnation"])
+
 
 class ProcessDirectory:
     """Asks entries for the entries and agents that they know, and all of these for their status."""
--- a/src/cactusgauge/console/application.py
+++ b/src/cactusgauge/console/application.py
@@ -5,6 +5,7 @@
 from cactusgauge.console import (
     account_commands,
     config_commands,
+    drain_command,
     job_commands,
     load_command,
     status_command,
@@ -22,6 +23,7 @@
     job_commands.job,
     config_commands.config,
     status_command.status,
+    drain_command.drain,
     timeline_command.show_timeline,
     load_command.load,
     account_commands.usage,
--- /dev/null
+++ b/src/cactusgauge/console/drain_command.py
@@ -0,0 +1,87 @@
+"""The `drain` command."""
+
+import asyncio
+import json
+import sys
+from typing import NamedTuple
+
+import click
+
+from cactusgauge import client, operations_resource
+from cactusgauge.console import exit_codes, options
+
+DEFAULT_TIMEOUT_S = 130.0  # the longest default deadline plus the time to hand over
+POLL_S = 0.2
+
+
+class Drained(NamedTuple):
+    """What became of one process; `problem` is empty once it has ended, or drains and was not waited for."""
+
+    name: str
+    url: str
+    problem: str
+
+
+@click.command()
+@click.argument("names", nargs=-1, required=True, metavar="NAME...")
+@options.entries
+@click.option(
+    "--timeout",
+    "timeout_s",
+    type=click.FloatRange(min=0),
+    default=DEFAULT_TIMEOUT_S,
+    show_default=True,
+    metavar="SECONDS",
+    help="Stop waiting for a process after this time.",
+)
+@click.option("--no-wait", is_flag=True, help="Do not wait until the processes have ended.")
+@options.as_json
+def drain(names: tuple[str, ...], entries: tuple[str, ...], timeout_s: float, no_wait: bool, as_json: bool) -> None:
+    """Stop entries or agents gracefully, one after the other.
+
+    A process that is drained takes no new work, finishes what it has and ends; what supervises it may start it again.
+    Exit code 0 means that all have ended, 1 that some have not, 2 that a name is not known and nothing was asked.
+    """
+    drained = asyncio.run(_drain_all(names, entries, None if no_wait else timeout_s))
+    if as_json:
+        click.echo(json.dumps([each._asdict() for each in drained]))
+    for each in drained:
+        if each.problem:
+            click.echo(f"{each.name} ({each.url}): {each.problem}", err=True)
+    sys.exit(exit_codes.FAILED if any(each.problem for each in drained) else exit_codes.COMPLETE)
+
+
+async def _drain_all(names: tuple[str, ...], entries: tuple[str, ...], timeout_s: float | None) -> list[Drained]:
+    async with client.EntryClient() as http:
+        known = {process.name: process for process in await client.ProcessDirectory(http).discover(entries)}
+        unknown = [name for name in names if name not in known]
+        if unknown:
+            raise click.UsageError(f"no process named {', '.join(unknown)}; `cactusgauge status` lists all names")
+        # One after the other, so that an entry hands its sessions to one that stays if there is any.
+        return [await _drain(http, known[name], timeout_s) for name in dict.fromkeys(names)]
+
+
+async def _drain(http: client.EntryClient, process: client.ProcessState, timeout_s: float | None) -> Drained:
+    if process.document is None:
+        return Drained(process.name, process.url, "does not answer; it may have ended")
+    url = f"{process.url}{operations_resource.DRAIN_PATH}"
+    reply = await http.request("POST", url, process.incarnation.encode())
+    if reply is None or reply.status != 202:
+        return Drained(process.name, process.url, reply.message if reply is not None else "no reply; run it again")
+    if sys.stderr.isatty():
+        click.echo(f"{process.name} drains", err=True)
+    if timeout_s is not None and not await _wait_until_ended(http, process, timeout_s):
+        return Drained(process.name, process.url, f"still drains after {timeout_s:g} s; run it again to wait further")
+    return Drained(process.name, process.url, "")
+
+
+async def _wait_until_ended(http: client.EntryClient, process: client.ProcessState, timeout_s: float) -> bool:
+    end = asyncio.get_running_loop().time() + timeout_s
+    url = f"{process.url}{operations_resource.STATUS_PATH}"
+    while asyncio.get_running_loop().time() < end:
+        # A process that does not answer has ended: one that drains serves its status until then.
+        document = await http.get_document(url)
+        if document is None or process._replace(document=document).incarnation != process.incarnation:
+            return True
+        await asyncio.sleep(POLL_S)
+    return False
--- a/src/cactusgauge/entry/entry_daemon.py
+++ b/src/cactusgauge/entry/entry_daemon.py
@@ -83,6 +83,11 @@
             own.accounting_interval_s,
         )
 
+    @property
+    def incarnation(self) -> str:
+        """Random id of this run of the entry."""
+        return self._members.own.incarnation
+
     @property
     def is_ready(self) -> bool:
         """Whether a configuration is in force and the entry is not being stopped."""
--- a/src/cactusgauge/exceptions.py
+++ b/src/cactusgauge/exceptions.py
@@ -183,6 +183,13 @@
     retry_after_s = 1.0
 
 
+class IncarnationChangedError(RequestError):
+    """The process was restarted since its status was read."""
+
+    code = "incarnation_changed"
+    http_status = 409
+
+
 class OwnerSlowError(CactusgaugeError):
     """The owner of a session is alive but did not answer in time."""
 
--- a/src/cactusgauge/operations_resource.py
+++ b/src/cactusgauge/operations_resource.py
@@ -4,6 +4,8 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+from cactusgauge import exceptions
+
 if TYPE_CHECKING:
     import falcon.asgi
 
@@ -14,6 +16,7 @@
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/v1/status"
 EVENTS_PATH = "/v1/events"
+DRAIN_PATH = "/v1/drain"
 RING_HEADER = "Cactusgauge-Ring"
 MAX_EVENTS = 1000  # of one reply; encoding these holds up dispatch for a few milliseconds
 
@@ -21,6 +24,11 @@
 class DaemonState(abc.ABC):
     """What a daemon tells about itself."""
 
+    @property
+    @abc.abstractmethod
+    def incarnation(self) -> str:
+        """Random id of this run of the daemon."""
+
     @property
     @abc.abstractmethod
     def is_ready(self) -> bool:
@@ -40,9 +48,13 @@
     def status(self) -> dict[str, Any]:
         """Return the daemon's state as a JSON object."""
 
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Begin a graceful shutdown, once; later calls change nothing."""
+
 
 class OperationsResource:
-    """Health, readiness, metrics, status and events."""
+    """Health, readiness, metrics, status, events and the planned stop."""
 
     def __init__(self, state: DaemonState) -> None:
         self._state = state
@@ -54,6 +66,7 @@
         app.add_route(METRICS_PATH, self, suffix="metrics")
         app.add_route(STATUS_PATH, self, suffix="status")
         app.add_route(EVENTS_PATH, self, suffix="events")
+        app.add_route(DRAIN_PATH, self, suffix="drain")
 
     async def on_get_health(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
         """Answer 200 while the process runs."""
@@ -73,6 +86,20 @@
         """Answer with the daemon's state."""
         response.media = self._state.status()
 
+    async def on_post_drain(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
+        """Begin a graceful shutdown of the incarnation that the body names; answer 409 if it is another one."""
+        wanted = (await request.stream.read()).decode(errors="replace")
+        if wanted != self._state.incarnation:
+            error = exceptions.IncarnationChangedError(
+                f"incarnation {self._state.incarnation} runs here; ask for the status and try again"
+            )
+            response.status = error.http_status
+            response.media = {"code": error.code, "message": str(error), "ran": error.ran.value}
+            return
+        self._state.stop()
+        response.status = 202
+        response.media = {"draining": True}
+
     async def on_get_events(self, request: "falcon.asgi.Request", response: "falcon.asgi.Response") -> None:
         """Answer with up to MAX_EVENTS events after `?after=NUMBER` as JSON lines; the last ones with `?last=COUNT`.
 
--- a/tests/system/test_status_command.py
+++ b/tests/system/test_status_command.py
@@ -1,13 +1,16 @@
-"""The status and timeline commands against real processes."""
+"""The status, timeline and drain commands against real processes."""
 
 import json
 import signal
+import urllib.error
+import urllib.request
 
+import pytest
 from click import testing
 
-from cactusgauge.console import application
+from cactusgauge.console import application, exit_codes
 from emulator import cluster
-from tests.system import caller
+from tests.system import caller, load
 
 
 def test_commands_find_all_processes_from_one_entry_and_name_the_lost(processes: cluster.Cluster) -> None:
@@ -52,3 +55,31 @@
     shown = run("timeline", "--format", "html")
     assert (shown.exit_code, shown.stdout[:15]) == (1, "<!DOCTYPE html>")
     assert "agent-0 does not answer" in shown.stderr
+
+
+def test_drained_processes_end_and_interrupt_nothing(processes: cluster.Cluster) -> None:
+    """Guards against an operator's drain that cuts work off, or that stops a process started since."""
+    for name in ("entry-1", "entry-2"):
+        processes.start_entry(name)
+    processes.start_worker(0)
+    processes.wait_ready("entry-1", "entry-2")
+    for name in ("entry-1", "entry-2"):
+        processes.wait_peers(name, 1)
+        processes.wait_linked(name, 1)
+    url = processes["entry-1"].http_url
+
+    def drain(*names: str) -> testing.Result:
+        return testing.CliRunner().invoke(application.main, ["drain", *names, "--entry", url])
+
+    assert drain("entry-1", "nosuch").exit_code == exit_codes.USAGE
+    with pytest.raises(urllib.error.HTTPError, match="409"):
+        urllib.request.urlopen(f"{url}/v1/drain", b"another incarnation", timeout=5)
+    with load.Load(processes, ["entry-1"], callers=4) as running:
+        processes.wait_until(lambda: len(running.submissions) > 4, "jobs were answered")
+        assert drain("entry-2").exit_code == exit_codes.COMPLETE
+        assert processes.wait_exit("entry-2") == 0
+        totals = running.finish()
+    assert totals.keys() <= {"complete", *load.NEW_SESSION_CODES}
+    assert not running.interrupted
+    assert drain("agent-0", "entry-1").exit_code == exit_codes.COMPLETE
+    assert [processes.wait_exit(name) for name in ("agent-0", "entry-1")] == [0, 0]
