--- a/tests/unit/entry/test_hand_over.py
+++ b/tests/unit/entry/test_hand_over.py
@@ -77,7 +77,16 @@
         return 0
 
 
-class _Pipe(conftest.FakeLink):
+class _Link(conftest.FakeLink):
+    """A link on which messages arrive at once."""
+
+    @property
+    def is_drained(self) -> bool:
+        """Always, as nothing waits."""
+        return True
+
+
+class _Pipe(_Link):
     """One end of a link between entries."""
 
     def __init__(self, peer: "_Pipe | None" = None) -> None:
@@ -94,9 +103,6 @@
         for end in (self, self.peer):
             end._inbox.put_nowait(None)
 
-    async def drain(self) -> None:
-        """Return, as messages arrive at once."""
-
     async def receive(self) -> wire.Message:
         """Return the next message."""
         message = await self._inbox.get()
@@ -132,7 +138,7 @@
         agent = ids.AgentIncarnation(own.name)
         hello = wire.AgentHello(1, ids.AgentName(agent), agent, conftest.WORKSPACE, own.data_centre, SLOTS, "")
         self.worker = self.dispatcher.find_worker(hello)
-        self.agent = conftest.FakeLink()
+        self.agent = _Link()
         self.dispatcher.attach(self.worker, self.agent, wire.Resume(0, SLOTS, True, 1))
 
     @property
