Sum up the capacity for admission by groups of workers

Each group keeps its sum for up to 250 ms when there are several; a single group (up to 24 workers) is summed up for every job as before.

A new test compares the messages of a dispatcher that plans a group only after a change with those of one that plans in every dispatch. The deadline test now runs with one and with four groups of the same capacity.

Tests run: make check, tests/unit/dispatch.

--- a/src/cactusgauge/dispatch/admission.py
+++ b/src/cactusgauge/dispatch/admission.py
@@ -1,7 +1,7 @@
 """Whether a whole job is accepted."""
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from cactusgauge import exceptions
 
@@ -9,12 +9,22 @@
     from collections import abc
 
     from cactusgauge import configuration, jobs
-    from cactusgauge.dispatch import job_queue, ordering, remote_worker, speed_book
+    from cactusgauge.dispatch import job_queue, ordering, speed_book
 
 MIN_RETRY_S = 1.0  # the header holds whole seconds, and 0 would invite a busy loop
 MAX_RETRY_S = 30.0
 
 
+class Capacity(NamedTuple):
+    """What the workers that may get work can do.
+
+    `rate` is the seconds of work, at slowness 1, that they do in a second; `fastest` is the lowest slowness.
+    """
+
+    rate: float
+    fastest: float
+
+
 class Admission:
     """Accepts a job whole or refuses it whole, before anything of it is queued.
 
@@ -37,33 +47,32 @@
         self,
         job: "jobs.Job",
         queue: "job_queue.JobQueue",
-        workers: "abc.Collection[remote_worker.RemoteWorker]",
+        capacity: Capacity,
         now: float,
     ) -> None:
-        """Raise a `RequestError` if the job is refused; `workers` are those that may get work."""
+        """Raise a `RequestError` if the job is refused."""
         limit = self._config.max_queued_tasks
         if job.task_count > limit:
             raise exceptions.JobNeverFitsError(f"{job.task_count} tasks; the workspace may queue {limit}")
-        rate = self._capacity(workers)
+        rate = capacity.rate
         if len(queue) + job.task_count > limit:
             excess = len(queue) + job.task_count - limit
             error = exceptions.OverloadedError(f"{len(queue)} tasks are queued; the limit is {limit}")
             error.retry_after_s = self._retry_s(excess * self._mean_run_s(job) / rate if rate else MAX_RETRY_S)
             raise error
         if rate and all(self._speeds.is_learned(task.request) for task in self._tasks(job)):
-            self._check_deadline(job, queue, workers, rate, now)
+            self._check_deadline(job, queue, capacity, now)
 
     def _check_deadline(
         self,
         job: "jobs.Job",
         queue: "job_queue.JobQueue",
-        workers: "abc.Collection[remote_worker.RemoteWorker]",
-        rate: float,
+        capacity: Capacity,
         now: float,
     ) -> None:
         allowed_s = job.deadline - now
-        fastest = min(self._speeds.slowness(worker.name) for worker in workers)
-        longest_s = max(self._speeds.expected_run_s(task.request) for task in self._tasks(job)) * fastest
+        rate = capacity.rate
+        longest_s = max(self._speeds.expected_run_s(task.request) for task in self._tasks(job)) * capacity.fastest
         own_s = max(longest_s, self._mean_run_s(job) * job.task_count / rate)
         if own_s > allowed_s:
             raise exceptions.DeadlineTooShortError(
@@ -77,10 +86,6 @@
             error.retry_after_s = self._retry_s(own_s + wait_s - allowed_s)
             raise error
 
-    def _capacity(self, workers: "abc.Collection[remote_worker.RemoteWorker]") -> float:
-        """Return the seconds of work, at slowness 1, that the workers do in a second."""
-        return sum(worker.credit / self._speeds.slowness(worker.name) for worker in workers)
-
     def _mean_run_s(self, job: "jobs.Job") -> float:
         return sum(self._speeds.expected_run_s(task.request) for task in self._tasks(job)) / job.task_count
 
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher of one workspace at one entry."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from cactusgauge import accounting, configuration, exceptions, ids, jobs, wire
@@ -23,6 +24,7 @@
 
 AGENT_LOST_S = 10.0  # then tasks in flight there are reported unknown, so that callers are not kept waiting
 REPLAN_S = 0.025  # half of the shortest usual task; waiting for a slot that is late must not cost more than that
+CAPACITY_AGE_S = 0.25  # an estimate that is as old as the last sweep decides no worse
 DEADLINE_GRACE_S = 1.0  # time for an agent's report of a task that it stopped at the deadline
 
 ORDERINGS: "dict[configuration.OrderingName, type[ordering.TaskOrdering]]" = {
@@ -143,7 +145,7 @@
         """Queue a whole job, or raise a `RequestError` and queue nothing of it."""
         now = asyncio.get_running_loop().time()
         try:
-            self._admission.check(job, self._queue, self._usable_workers(now), now)
+            self._admission.check(job, self._queue, self._capacity(now), now)
         except exceptions.RequestError as error:
             self._counters.add("jobs_refused", self.workspace, error.code)
             raise
@@ -236,12 +238,23 @@
         self._groups.touch_all()
         self.schedule()
 
-    def _usable_workers(self, now: float) -> list[remote_worker.RemoteWorker]:
-        return [
-            worker
-            for worker in self._workers.values()
-            if worker.is_available(now) and self._health.allowed(worker.name, now) is None
-        ]
+    def _capacity(self, now: float) -> admission.Capacity:
+        """Sum up the workers that may get work; with several groups the sums may be CAPACITY_AGE_S old."""
+        max_age_s = CAPACITY_AGE_S if len(self._groups) > 1 else 0.0
+        found = [self._group_capacity(group, now, max_age_s) for group in self._groups]
+        return admission.Capacity(sum(each.rate for each in found), min((each.fastest for each in found), default=1.0))
+
+    def _group_capacity(self, group: worker_groups.WorkerGroup, now: float, max_age_s: float) -> admission.Capacity:
+        if group.capacity is None or now - group.capacity_at >= max_age_s:
+            usable = [
+                (worker.credit, self._speeds.slowness(worker.name))
+                for worker in group.workers
+                if worker.is_available(now) and self._health.allowed(worker.name, now) is None
+            ]
+            rate = sum(credit / slowness for credit, slowness in usable)
+            group.capacity = admission.Capacity(rate, min((slowness for _, slowness in usable), default=math.inf))
+            group.capacity_at = now
+        return group.capacity
 
     def _slots(self, workers: "abc.Iterable[remote_worker.RemoteWorker]", now: float) -> list[worker_slots.WorkerSlots]:
         slots = []
--- a/src/cactusgauge/dispatch/worker_groups.py
+++ b/src/cactusgauge/dispatch/worker_groups.py
@@ -3,8 +3,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge import ids
-    from cactusgauge.dispatch import remote_worker
+    from cactusgauge.dispatch import admission, remote_worker
 
 # A plan takes time in proportion to tasks times workers; 192 slots are enough to find a fast one that is soon free.
 GROUP_WORKERS = 24
@@ -14,7 +16,8 @@
 class WorkerGroup:
     """Some workers of a workspace, with their tasks in flight and free slots as last counted.
 
-    `replan_at` is when to plan again although none of the workers changes, or None.
+    `replan_at` is when to plan again although none of the workers changes, or None. `capacity` was summed up at
+    `capacity_at`.
     """
 
     def __init__(self, workers: "list[remote_worker.RemoteWorker]") -> None:
@@ -22,6 +25,8 @@
         self.running = 0
         self.free = 0
         self.replan_at: float | None = None
+        self.capacity: admission.Capacity | None = None
+        self.capacity_at = 0.0
 
     def count(self) -> None:
         """Count the tasks in flight and the free slots anew."""
@@ -45,6 +50,9 @@
     def __len__(self) -> int:
         return len(self._groups)
 
+    def __iter__(self) -> "abc.Iterator[WorkerGroup]":
+        return iter(self._groups)
+
     @property
     def running_count(self) -> int:
         """Number of tasks in flight."""
--- a/tests/unit/dispatch/test_dispatcher_policy.py
+++ b/tests/unit/dispatch/test_dispatcher_policy.py
@@ -43,9 +43,13 @@
     assert overloaded.value.ran is never.value.ran is exceptions.Ran.NOTHING
 
 
-async def test_deadline_that_cannot_be_met_is_refused_early(bench: Bench) -> None:
+@pytest.mark.parametrize("groups", [1, 4])
+async def test_deadline_that_cannot_be_met_is_refused_early(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch, groups: int
+) -> None:
     """Guards against jobs that wait for their deadline only to be refused then."""
-    made = bench(1)
+    monkeypatch.setattr(worker_groups, "GROUP_WORKERS", 4 // groups)
+    made = bench(4, slots=2)
     await _learn(made)
 
     with pytest.raises(exceptions.DeadlineTooShortError) as too_short:
@@ -184,3 +188,41 @@
     starts = sum(len(link.starts()) for link in made.links)
     assert starts == made.counters.get("tasks_completed") + made.counters.get("tasks_returned")
     assert made.dispatcher.queued_count == made.dispatcher.running_count == 0
+
+
+class _AllGroups(worker_groups.WorkerGroups):
+    """The naive baseline: every group is planned in every dispatch."""
+
+    def take_touched(self) -> list[worker_groups.WorkerGroup]:
+        self.touch_all()
+        return super().take_touched()
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("placement", configuration.PlacementName)
+async def test_one_group_sends_what_a_plan_in_every_dispatch_sends(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch, placement: configuration.PlacementName, seed: int
+) -> None:
+    """Guards against a change that nobody takes for a reason to plan again."""
+    own = bench(6, slots=2, placement=placement)
+    with monkeypatch.context() as naive:
+        naive.setattr(worker_groups, "WorkerGroups", _AllGroups)
+        baseline = bench(6, slots=2, placement=placement)
+    source = random.Random(seed)
+    for number in range(120):
+        sizes, step, reason = (
+            source.choice([1, 2, 9]),
+            source.choice([0.001, 0.01, 0.1]),
+            source.choice([""] * 9 + ["no_slot"]),
+        )
+        ending, cancelled = source.sample(range(6), 3), source.random() < 0.2
+        for made in (own, baseline):
+            job = _job(number, sizes, declared=50.0 * (1 + number % 5))
+            made.dispatcher.admit(job)
+            for worker in ending:
+                made.answer(worker, "not_run" if reason else "completed", reason, count=1)
+            if cancelled:
+                made.dispatcher.cancel(job)
+        await asyncio.sleep(step)
+        assert [link.posted for link in own.links] == [link.posted for link in baseline.links]
+    assert sum(len(link.starts()) for link in own.links) > 60
