Move the planning of tasks and the judgement of failures out of the dispatcher

TaskPlanner holds what concerns placement and capacity; is_failure stands beside the health that it feeds. No change of behaviour; the unit tests of dispatch and entry pass.

--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -1,7 +1,6 @@
 """Dispatcher of one workspace at one entry."""
 
 import asyncio
-import math
 from typing import TYPE_CHECKING
 
 from cactusgauge import accounting, configuration, exceptions, ids, jobs, wire
@@ -12,9 +11,9 @@
     placement,
     remote_worker,
     speed_book,
+    task_planner,
     worker_groups,
     worker_health,
-    worker_slots,
 )
 
 if TYPE_CHECKING:
@@ -23,8 +22,6 @@
     from cactusgauge import observability
 
 AGENT_LOST_S = 10.0  # then tasks in flight there are reported unknown, so that callers are not kept waiting
-REPLAN_S = 0.025  # half of the shortest usual task; waiting for a slot that is late must not cost more than that
-CAPACITY_AGE_S = 0.25  # an estimate that is as old as the last sweep decides no worse
 DEADLINE_GRACE_S = 1.0  # time for an agent's report of a task that it stopped at the deadline
 
 ORDERINGS: "dict[configuration.OrderingName, type[ordering.TaskOrdering]]" = {
@@ -47,19 +44,6 @@
     }
 )
 
-# These ends are evidence against a worker, to be compared with the rest of the fleet.
-FAULTY_REASONS = frozenset(
-    {
-        jobs.Reason.BACKEND_ERROR.value,
-        jobs.Reason.CONNECTION_LOST.value,
-        jobs.Reason.CONNECTION_REFUSED.value,
-        jobs.Reason.REFUSED_BY_BACKEND_SERVER.value,
-        jobs.Reason.INTERNAL_ERROR.value,
-    }
-)
-
-HUNG_FACTOR = 5.0  # a task cut off at its deadline counts against the worker only after so many expected run times
-
 
 class Dispatcher:
     """Queues the tasks of a workspace's owned jobs and sends each to at most one agent at a time.
@@ -78,10 +62,11 @@
         self._events = events
         self._on_finished = on_finished
         self._workers: dict[ids.AgentName, remote_worker.RemoteWorker] = {}
-        self._groups = worker_groups.WorkerGroups()
         self._jobs: dict[ids.JobId, jobs.Job] = {}
         self._speeds = speed_book.SpeedBook()
         self._health = worker_health.WorkerHealth(config.name, counters, events, self._available_count)
+        self._planner = task_planner.TaskPlanner(self._speeds, self._health)
+        self._groups = self._planner.groups
         # Kept for agents that were replaced too, as accounts are cumulative.
         self._accounts: dict[tuple[ids.AgentName, ids.AgentIncarnation], accounting.PairAccount] = {}
         self._dispatch_scheduled = False
@@ -133,7 +118,7 @@
         """Put a version of the workspace's configuration in force."""
         self._config = config
         self._ordering = ORDERINGS[config.ordering]()
-        self._placement = PLACEMENTS[config.placement]()
+        self._planner.apply(PLACEMENTS[config.placement](), config.max_running_tasks)
         self._admission = admission.Admission(config, self._ordering, self._speeds)
         self._queue = job_queue.JobQueue(self._ordering, self._speeds)
         for job in self._jobs.values():
@@ -145,7 +130,7 @@
         """Queue a whole job, or raise a `RequestError` and queue nothing of it."""
         now = asyncio.get_running_loop().time()
         try:
-            self._admission.check(job, self._queue, self._capacity(now), now)
+            self._admission.check(job, self._queue, self._planner.capacity(now), now)
         except exceptions.RequestError as error:
             self._counters.add("jobs_refused", self.workspace, error.code)
             raise
@@ -238,83 +223,16 @@
         self._groups.touch_all()
         self.schedule()
 
-    def _capacity(self, now: float) -> admission.Capacity:
-        """Sum up the workers that may get work; with several groups the sums may be CAPACITY_AGE_S old."""
-        max_age_s = CAPACITY_AGE_S if len(self._groups) > 1 else 0.0
-        found = [self._group_capacity(group, now, max_age_s) for group in self._groups]
-        return admission.Capacity(sum(each.rate for each in found), min((each.fastest for each in found), default=1.0))
-
-    def _group_capacity(self, group: worker_groups.WorkerGroup, now: float, max_age_s: float) -> admission.Capacity:
-        if group.capacity is None or now - group.capacity_at >= max_age_s:
-            usable = [
-                (worker.credit, self._speeds.slowness(worker.name))
-                for worker in group.workers
-                if worker.is_available(now) and self._health.allowed(worker.name, now) is None
-            ]
-            rate = sum(credit / slowness for credit, slowness in usable)
-            group.capacity = admission.Capacity(rate, min((slowness for _, slowness in usable), default=math.inf))
-            group.capacity_at = now
-        return group.capacity
-
-    def _slots(self, workers: "abc.Iterable[remote_worker.RemoteWorker]", now: float) -> list[worker_slots.WorkerSlots]:
-        slots = []
-        for worker in workers:
-            if not worker.is_available(now):
-                continue
-            allowed = self._health.allowed(worker.name, now)
-            free = worker.free_slots
-            if not worker.in_flight and self._speeds.is_stale(worker.name, now):
-                self._speeds.forget_slowness(worker.name)
-                free = min(free, 1)  # measures it again at the risk of one slow task
-            if allowed is not None:
-                free = min(free, max(0, allowed - len(worker.in_flight)))
-            if free or allowed is None:
-                slots.append(worker_slots.WorkerSlots(worker, free, now))
-        return slots
-
     def _dispatch(self) -> None:
         self._dispatch_scheduled = False
         now = asyncio.get_running_loop().time()
         stride = len(self._groups)
         for group in self._groups.take_touched():
-            self._send(group, self._plan(group, stride, now), now)
+            self._send(group, self._planner.plan(group, self._queue, stride, now), now)
             group.count()
             stride -= 1
         self._replan_later()
 
-    def _plan(
-        self, group: worker_groups.WorkerGroup, stride: int, now: float
-    ) -> dict[ids.AgentName, list[placement.Placed]]:
-        """Place tasks within a group. It considers one in `stride` tasks, as that many groups share the queue."""
-        group.replan_at = None
-        batches: dict[ids.AgentName, list[placement.Placed]] = {}
-        if not self._queue:
-            return batches
-        slots = self._slots(group.workers, now)
-        budget = self._config.max_running_tasks - self.running_count
-        free = min(budget, sum(each.free for each in slots))
-        if free <= 0:
-            return batches
-        considered = 0
-
-        def waiting() -> "abc.Iterator[tuple[jobs.Job, jobs.Task]]":
-            nonlocal considered
-            for job, task in self._queue.tasks(stride):
-                if now < job.deadline:
-                    considered += 1
-                    yield job, task
-
-        placed = self._placement.plan(waiting(), slots, self._speeds, now, budget)
-        for each in placed:
-            each.job.send(each.task.index)
-            self._queue.take(each.job, each.task)
-            batches.setdefault(each.worker.name, []).append(each)
-        if self._queue and len(placed) < free:
-            # If every task that was considered got a slot, the others may get one too.
-            is_exhausted = placed and len(placed) == considered
-            group.replan_at = now if is_exhausted else now + REPLAN_S
-        return batches
-
     def _replan_later(self) -> None:
         """Plan again soon, as a task may wait for a slot that turns out to be late."""
         due = self._groups.next_replan_at
@@ -393,15 +311,11 @@
         reason: str,
         sent: remote_worker.InFlight,
     ) -> None:
-        is_failure = reason in FAULTY_REASONS
-        if reason == jobs.Reason.DEADLINE.value:
-            # Under overload many tasks are cut off soon after their start, which says nothing about the worker.
-            ran_s = asyncio.get_running_loop().time() - sent.sent_at
-            is_failure = ran_s > HUNG_FACTOR * (sent.expected_end - sent.sent_at)
-        if not is_failure and state is not jobs.TaskState.COMPLETED:
-            return
-        kind = self._jobs[task_id.job].task_at(task_id.task).request.kind
-        self._health.record(worker.name, task_id.job, kind, is_failure)
+        ran_s = asyncio.get_running_loop().time() - sent.sent_at
+        is_failure = worker_health.is_failure(state, reason, ran_s, sent.expected_end - sent.sent_at)
+        if is_failure is not None:
+            kind = self._jobs[task_id.job].task_at(task_id.task).request.kind
+            self._health.record(worker.name, task_id.job, kind, is_failure)
 
     def _available_count(self) -> int:
         now = asyncio.get_running_loop().time()
