Bound how long a stopped agent waits for acknowledgements

The planned stop of an agent had a bound on its tasks, by their deadlines, but none on the wait for acknowledgements by an entry that is linked. After 20 s the agent now logs results_unacknowledged and ends; the tasks become unknown at the entry. The test does not end without the bound.

--- a/src/cactusgauge/agent/start_controller.py
+++ b/src/cactusgauge/agent/start_controller.py
@@ -9,6 +9,7 @@
 from cactusgauge.agent import entry_ledger
 
 DRAIN_CHECK_S = 0.05
+ACKNOWLEDGEMENT_S = 20.0  # an entry that is heard at all acknowledges within IDLE_HEARTBEAT_S
 MAX_EARLY_SEALS = 10_000  # callers can name any session, so what is kept of unknown owners must be bounded
 
 if TYPE_CHECKING:
@@ -153,13 +154,20 @@
                 ledger.show_state(self._credit(ledger), self.serving)
 
     async def drain(self) -> None:
-        """Take no new work, and wait until all running tasks ended and their results were received."""
+        """Take no new work, and wait until all running tasks ended and their results were received.
+
+        Results that no entry acknowledges within ACKNOWLEDGEMENT_S are given up; their tasks become unknown.
+        """
         self._draining = True
         self.refresh()
         while self._tasks:
             await asyncio.wait(self._tasks)
         self._flush()
-        while any(ledger.is_owed_results for ledger in self._ledgers.values()):
+        give_up_at = asyncio.get_running_loop().time() + ACKNOWLEDGEMENT_S
+        while owed := [ledger.incarnation for ledger in self._ledgers.values() if ledger.is_owed_results]:
+            if asyncio.get_running_loop().time() >= give_up_at:
+                self._events.record_state("results_unacknowledged", entries=", ".join(owed))
+                return
             await asyncio.sleep(DRAIN_CHECK_S)
 
     def _show_state(self) -> None:
--- a/tests/unit/agent/test_start_controller.py
+++ b/tests/unit/agent/test_start_controller.py
@@ -165,6 +165,19 @@
     assert drains[0].done()
 
 
+def test_drain_gives_up_results_that_are_never_acknowledged(world: conftest.World) -> None:
+    """Guards against a planned stop without a bound when an entry is linked but acknowledges nothing."""
+    world.call(lambda: world.entries[0].submit(1))
+    world.deliver_all()
+    drains = _drain(world)
+    world.call(lambda: world.running[0].end(COMPLETED))
+    for waited_s in (0.0, start_controller.ACKNOWLEDGEMENT_S - 1.0):
+        world.advance(waited_s)
+        assert not drains[0].done()
+    world.advance(2.0)
+    assert drains[0].done()
+
+
 def test_entry_that_stops_acknowledges_first(world: conftest.World) -> None:
     """Guards against an agent whose planned stop waits AWAY_S for an entry that was stopped as well."""
     world.call(lambda: world.entries[0].submit(1))
