--- a/src/cactusgauge/console/drain_command.py
+++ b/src/cactusgauge/console/drain_command.py
@@ -10,7 +10,6 @@
 from cactusgauge import client, operations_resource
 from cactusgauge.console import exit_codes, options
 
-DEFAULT_TIMEOUT_S = 130.0  # the longest default deadline plus the time to hand over
 POLL_S = 0.2
 
 
@@ -25,15 +24,7 @@
 @click.command()
 @click.argument("names", nargs=-1, required=True, metavar="NAME...")
 @options.entries
-@click.option(
-    "--timeout",
-    "timeout_s",
-    type=click.FloatRange(min=0),
-    default=DEFAULT_TIMEOUT_S,
-    show_default=True,
-    metavar="SECONDS",
-    help="Stop waiting for a process after this time.",
-)
+@options.timeout
 @click.option("--no-wait", is_flag=True, help="Do not wait until the processes have ended.")
 @options.as_json
 def drain(names: tuple[str, ...], entries: tuple[str, ...], timeout_s: float, no_wait: bool, as_json: bool) -> None:
--- a/src/cactusgauge/console/job_commands.py
+++ b/src/cactusgauge/console/job_commands.py
@@ -17,7 +17,6 @@
 if TYPE_CHECKING:
     from collections import abc
 
-DEFAULT_TIMEOUT_S = 130.0  # the longest default deadline plus the time to collect the answer
 PROGRESS_POLL_S = 1.0
 MAX_LISTED_TASKS = 20
 MAX_FINDINGS = 10
@@ -29,15 +28,6 @@
     metavar="FILE",
     help="File that keeps the session and its last job number between commands.",
 )
-_timeout = click.option(
-    "--timeout",
-    "timeout_s",
-    type=click.FloatRange(min=0),
-    default=DEFAULT_TIMEOUT_S,
-    show_default=True,
-    metavar="SECONDS",
-    help="Stop waiting after this time.",
-)
 
 
 @click.group()
@@ -55,7 +45,7 @@
 @_session
 @_session_file
 @click.option("--number", type=click.IntRange(min=0), help="Job number within --session.")
-@_timeout
+@options.timeout
 @click.option("--no-wait", is_flag=True, help="Return as soon as the job is accepted.")
 @click.option("--results", is_flag=True, help="Print the result of every task.")
 @options.as_json
@@ -105,7 +95,7 @@
 @_session
 @_session_file
 @click.option("--number", type=click.IntRange(min=0), help="Job number; the last one of --session-file if left out.")
-@_timeout
+@options.timeout
 @click.option("--results", is_flag=True, help="Print the result of every task.")
 @options.as_json
 def wait(
@@ -129,7 +119,7 @@
 @_session
 @_session_file
 @click.option("--number", type=click.IntRange(min=0), help="Job number; the last one of --session-file if left out.")
-@_timeout
+@options.timeout
 @options.as_json
 def cancel(
     entries: tuple[str, ...],
--- a/src/cactusgauge/console/options.py
+++ b/src/cactusgauge/console/options.py
@@ -10,6 +10,7 @@
 ENTRY_VARIABLE = "CACTUSGAUGE_ENTRY"
 LOG_VARIABLE = "CACTUSGAUGE_LOG_URL"
 WORKSPACE_VARIABLE = "CACTUSGAUGE_WORKSPACE"
+DEFAULT_TIMEOUT_S = 130.0  # the longest deadline by default, and the time to collect an answer or to hand over
 UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
 
@@ -66,4 +67,13 @@
     "--since", callback=_parse_time, metavar="TIME", help="Only from this time (ISO 8601) or age (10m) on."
 )
 until = click.option("--until", callback=_parse_time, metavar="TIME", help="Only before this time or age.")
+timeout = click.option(
+    "--timeout",
+    "timeout_s",
+    type=click.FloatRange(min=0),
+    default=DEFAULT_TIMEOUT_S,
+    show_default=True,
+    metavar="SECONDS",
+    help="Stop waiting after this time.",
+)
 as_json = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
--- a/tests/unit/agent/test_start_controller.py
+++ b/tests/unit/agent/test_start_controller.py
@@ -43,6 +43,15 @@
     return drains
 
 
+def _run_and_drain(world: conftest.World) -> "list[asyncio.Task[None]]":
+    """Start a task, drain, and let the task end."""
+    world.call(lambda: world.entries[0].submit(1))
+    world.deliver_all()
+    drains = _drain(world)
+    world.call(lambda: world.running[0].end(COMPLETED))
+    return drains
+
+
 def _run_and_cut(world: conftest.World) -> "list[asyncio.Task[None]]":
     """Start a task, cut the link, drain, and let the task end."""
     world.call(lambda: world.entries[0].submit(1))
@@ -167,10 +176,7 @@
 
 def test_drain_gives_up_results_that_are_never_acknowledged(world: conftest.World) -> None:
     """Guards against a planned stop without a bound when an entry is linked but acknowledges nothing."""
-    world.call(lambda: world.entries[0].submit(1))
-    world.deliver_all()
-    drains = _drain(world)
-    world.call(lambda: world.running[0].end(COMPLETED))
+    drains = _run_and_drain(world)
     for waited_s in (0.0, start_controller.ACKNOWLEDGEMENT_S - 1.0):
         world.advance(waited_s)
         assert not drains[0].done()
@@ -180,10 +186,7 @@
 
 def test_entry_that_stops_acknowledges_first(world: conftest.World) -> None:
     """Guards against an agent whose planned stop waits AWAY_S for an entry that was stopped as well."""
-    world.call(lambda: world.entries[0].submit(1))
-    world.deliver_all()
-    drains = _drain(world)
-    world.call(lambda: world.running[0].end(COMPLETED))
+    drains = _run_and_drain(world)
     world.deliver_all()
     world.advance(1.0)
     assert not drains[0].done()
