--- a/scripts/measure_configuration.py
+++ b/scripts/measure_configuration.py
@@ -12,9 +12,14 @@
 import aiohttp
 import click
 
-from cactusgauge import configuration, ids, platform
+from cactusgauge import configuration, ids, platform, wire
 from emulator import cluster
 
+CHANGES_A_DAY = 730
+SECONDS_A_DAY = 86_400
+TARGET_AGENTS = 122  # linked to one entry, and TARGET_PEERS: docs/CAPACITY.md
+TARGET_PEERS = 13
+FRAME_OVERHEAD_BYTES = 54  # IP, TCP and WebSocket headers
 SETTLE_S = 3.0  # the bound of G8; what is not in force by then is missed
 
 
@@ -68,6 +73,31 @@
     )
 
 
+def _sent(processes: cluster.Cluster, entries: list[str], counter: str, label: str) -> float:
+    rows = [row for name in entries for row in processes.get_json(name, "/v1/status")["counters"]]
+    return sum(float(value) for name, _, its_label, value in rows if (name, its_label) == (counter, label))
+
+
+def _report_traffic(processes: cluster.Cluster, entries: list[str], changes: int) -> None:
+    """Print the traffic of the changes, as counted, and what follows for the target."""
+    agent_config = _sent(processes, entries, "bytes_sent", "AgentConfig") / _sent(
+        processes, entries, "messages_sent", "AgentConfig"
+    )
+    peer_beat = len(wire.FrameCodec().encode(wire.PeerBeat(True, changes)))
+    document = processes.get_json(entries[0], configuration.CONFIGURATION_PATH)
+    to_agents = TARGET_AGENTS * (agent_config + FRAME_OVERHEAD_BYTES)
+    to_peers = TARGET_PEERS * (peer_beat + FRAME_OVERHEAD_BYTES)
+    per_s = CHANGES_A_DAY / SECONDS_A_DAY
+    print(
+        f"a change: {agent_config:.0f} bytes to each agent and {peer_beat} to each peer, with "
+        f"{FRAME_OVERHEAD_BYTES} of headers each; at {TARGET_AGENTS} agents, {TARGET_PEERS} peers and "
+        f"{CHANGES_A_DAY} changes a day: "
+        f"{per_s * (to_agents + to_peers):.0f} bytes/s sent by an entry, "
+        f"{per_s * 3 * (agent_config + FRAME_OVERHEAD_BYTES):.1f} received by an agent with 3 links; "
+        f"the whole state has {len(json.dumps(document))} bytes"
+    )
+
+
 @click.command()
 @click.option("--entries", default=4, show_default=True)
 @click.option("--agents", default=4, show_default=True)
@@ -88,6 +118,7 @@
         time.sleep(SETTLE_S)
         _report("entries", entry_names, processes, accepted)
         _report("agents", agent_names, processes, accepted)
+        _report_traffic(processes, entry_names, changes)
 
 
 if __name__ == "__main__":
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -18,7 +18,7 @@
 
 import click
 
-from cactusgauge import configuration, load
+from cactusgauge import configuration, ids, load
 from emulator import cluster
 
 ENTRY = "entry-1"
@@ -26,6 +26,7 @@
 SERVER_SLOTS = 8
 MAX_STARTS = 3
 SETTLE_S = 1.5  # the first announcements and heartbeats
+NEIGHBOUR = ids.WorkspaceName("criers")
 
 
 class PolicyCluster(cluster.Cluster):
@@ -42,7 +43,9 @@
             for name, template in change.templates.items()
             if template is not None
         }
-        return change.model_copy(update={"templates": templates})
+        workspaces = {**change.workspaces, NEIGHBOUR: change.workspaces[ids.WorkspaceName(self._workspace)]}
+        base = {**change.base, f"workspaces.{NEIGHBOUR}": -1}
+        return change.model_copy(update={"templates": templates, "workspaces": workspaces, "base": base})
 
 
 @click.command()
@@ -68,6 +71,9 @@
     show_default=True,
     help="Numbers of entries, separated by commas; with '-spread' each entry owns its share of the sessions.",
 )
+@click.option(
+    "--beside", help="Mix of a second workspace at the same entries, with workers of its own; it is not reported."
+)
 @click.option("--profile", is_flag=True, help="Also print the CPU time of the entry.")
 def main(
     mix_name: str,
@@ -79,6 +85,7 @@
     overrides: str,
     output: pathlib.Path | None,
     entry_counts: str,
+    beside: str | None,
     profile: bool,
 ) -> None:
     """Run every arm at every load and seed, alternating between the arms and numbers of entries."""
@@ -91,7 +98,7 @@
             for arm, entries in itertools.product(arms, entry_counts.split(",")):
                 ordering, _, placement = arm.partition("/")
                 workspace_settings = {"ordering": ordering, "placement": placement, **json.loads(overrides)}
-                result = _measure(mix_path, load_share, seed, duration, workspace_settings, options, entries)
+                result = _measure(mix_path, load_share, seed, duration, workspace_settings, options, entries, beside)
                 result |= {"arm": arm, "entries": entries, "faulty": list(faulty), "overrides": overrides}
                 click.echo(_describe(result, profile))
                 if output is not None:
@@ -107,17 +114,21 @@
     workspace_settings: dict[str, Any],
     faulty: dict[int, list[str]],
     entries: str,
+    beside: str | None,
 ) -> dict[str, Any]:
     mix = load.MixLoader(mix_path).load()
+    neighbour = None
+    if beside is not None:
+        neighbour = load.MixLoader(MIXES / f"{beside}.yaml").load().model_copy(update={"workspace": NEIGHBOUR})
     with contextlib.ExitStack() as stack:
         count, _, spread = entries.partition("-")
         names = [f"entry-{number + 1}" for number in range(int(count))]
-        processes = _start(stack, mix, workspace_settings, faulty, names)
+        processes = _start(stack, mix, workspace_settings, faulty, names, neighbour)
         time.sleep(SETTLE_S)
         machine_load = os.getloadavg()[0]
         entry_pid = processes[ENTRY].process.pid
         cpu_before = _cpu_s(entry_pid)
-        result = _run_load(processes, names, mix, load_share, seed, duration, bool(spread))
+        result = _run_load(processes, names, mix, load_share, seed, duration, bool(spread), neighbour)
         result["entry_cpu_s"] = round(_cpu_s(entry_pid) - cpu_before, 2)
         result["machine_load"] = [round(machine_load, 1), round(os.getloadavg()[0], 1)]
         result["slowness"] = {
@@ -138,6 +149,7 @@
     workspace_settings: dict[str, Any],
     faulty: dict[int, list[str]],
     entries: list[str],
+    neighbour: load.Mix | None,
 ) -> PolicyCluster:
     """Start all processes; start again if one does not come up, as its port may have been taken meanwhile."""
     for _ in range(MAX_STARTS):
@@ -145,15 +157,18 @@
         processes = PolicyCluster(directory, workspace_settings)
         try:
             for name in entries:
-                processes.start_entry(name)
+                processes.start_entry(name, workspaces=[mix.workspace, NEIGHBOUR])
             for number, speed in enumerate(mix.fleet.speeds):
                 options = ["--speed", str(speed), "--seed", str(number), *faulty.get(number, [])]
                 processes.start_worker(number, *options)
+            own, others = len(mix.fleet.speeds), neighbour.fleet.speeds if neighbour is not None else []
+            for number, speed in enumerate(others, own):
+                processes.start_worker(number, "--speed", str(speed), "--seed", str(number), workspace=NEIGHBOUR)
             processes.wait_ready(*entries)
             for name in entries:
-                processes.wait_linked(name, len(mix.fleet.speeds))
+                processes.wait_linked(name, own + len(others))
                 processes.wait_peers(name, len(entries) - 1)
-            _check_servers(processes, len(mix.fleet.speeds))
+            _check_servers(processes, own + len(others))
         except TimeoutError as error:
             click.echo(str(error), err=True)
             processes.__exit__()
@@ -183,17 +198,23 @@
     seed: int,
     duration: float | None,
     spreads_sessions: bool,
+    neighbour: load.Mix | None,
 ) -> dict[str, Any]:
     given = {"load": load_share, "seed": seed, "duration_s": duration}
     changes = {name: value for name, value in given.items() if value is not None}
     changed = load.Mix.model_validate({**mix.model_dump(), **changes})
     urls = [processes[name].http_url for name in entries]
-    return asyncio.run(_generate_load(changed, urls, spreads_sessions))
+    return asyncio.run(_generate_load(changed, urls, spreads_sessions, neighbour))
 
 
-async def _generate_load(mix: load.Mix, urls: list[str], spreads_sessions: bool) -> dict[str, Any]:
+async def _generate_load(
+    mix: load.Mix, urls: list[str], spreads_sessions: bool, neighbour: load.Mix | None
+) -> dict[str, Any]:
     before = await load.MessageCounts.read(urls)
-    records = await load.LoadGenerator(mix, load.draw_plan(mix), urls, spreads_sessions).run()
+    generators = [load.LoadGenerator(mix, load.draw_plan(mix), urls, spreads_sessions)]
+    if neighbour is not None:
+        generators.append(load.LoadGenerator(neighbour, load.draw_plan(neighbour), urls, spreads_sessions))
+    records, *_ = await asyncio.gather(*(each.run() for each in generators))
     counts = (await load.MessageCounts.read(urls)).since(before)
     return load.WorkspaceReport.build(mix, records, counts).as_dict()
 
