Keep the dial tasks of agents and entries in one class

EntryLinks and PeerLinks shared the loop that dials again, but each kept its own table of tasks and its own way to end them. DialTasks holds both. No change of behaviour.

--- a/src/cactusgauge/agent/entry_links.py
+++ b/src/cactusgauge/agent/entry_links.py
@@ -1,7 +1,6 @@
 """Links from an agent to entries."""
 
 import asyncio
-import functools
 from typing import TYPE_CHECKING
 
 from cactusgauge import exceptions, wire
@@ -38,7 +37,7 @@
         self._counters = counters
         self._events = events
         self._codec = wire.FrameCodec()
-        self._dial_tasks: dict[str, asyncio.Task[None]] = {}
+        self._dial_tasks = wire.DialTasks(self._dial, MIN_REDIAL_S, MAX_REDIAL_S)
         self._linked_urls: set[str] = set()
 
     @property
@@ -48,23 +47,18 @@
 
     async def run(self) -> None:
         """Dial the wanted entries until cancelled."""
-        try:
+        async with self._dial_tasks:
             while True:
                 self._update_dial_tasks()
                 await asyncio.sleep(CHECK_S)
-        finally:
-            for task in self._dial_tasks.values():
-                task.cancel()
-            await asyncio.gather(*self._dial_tasks.values(), return_exceptions=True)
 
     def _update_dial_tasks(self) -> None:
         wanted = self._directory.wanted_urls()
-        for url in wanted - self._dial_tasks.keys():
-            dialling = wire.redial_forever(functools.partial(self._dial, url), MIN_REDIAL_S, MAX_REDIAL_S)
-            self._dial_tasks[url] = asyncio.create_task(dialling)
+        for url in wanted - self._dial_tasks.urls:
+            self._dial_tasks.start(url)
         # A linked entry may own sessions, so only a link that is down anyway is given up.
-        for url in self._dial_tasks.keys() - wanted - self._linked_urls:
-            self._dial_tasks.pop(url).cancel()
+        for url in self._dial_tasks.urls - wanted - self._linked_urls:
+            self._dial_tasks.stop(url)
 
     async def _dial(self, url: str) -> None:
         connection = await wire.dial(url)
--- a/src/cactusgauge/entry/peer_links.py
+++ b/src/cactusgauge/entry/peer_links.py
@@ -1,7 +1,6 @@
 """Links between entries."""
 
 import asyncio
-import functools
 from typing import TYPE_CHECKING
 
 from cactusgauge import exceptions, ids, wire
@@ -44,22 +43,17 @@
         self._seeds = seeds
         self._on_change = on_change
         self._links: dict[ids.EntryName, list[wire.Link]] = {}
-        self._dial_tasks: dict[str, asyncio.Task[None]] = {}
+        self._dial_tasks = wire.DialTasks(self._dial, REDIAL_S, REDIAL_S)
         self._accepted: dict[ids.EntryIncarnation, asyncio.Event] = {}
 
     async def run(self) -> None:
         """Keep a dial task for every known address until cancelled."""
-        try:
+        async with self._dial_tasks:
             while True:
                 urls = {*self._seeds, *(info.link_url for info in self._members.known)}
-                for url in urls - {self._members.own.link_url} - self._dial_tasks.keys():
-                    dialling = wire.redial_forever(functools.partial(self._dial, url), REDIAL_S, REDIAL_S)
-                    self._dial_tasks[url] = asyncio.create_task(dialling)
+                for url in urls - {self._members.own.link_url} - self._dial_tasks.urls:
+                    self._dial_tasks.start(url)
                 await asyncio.sleep(DIAL_CHECK_S)
-        finally:
-            for task in self._dial_tasks.values():
-                task.cancel()
-            await asyncio.gather(*self._dial_tasks.values(), return_exceptions=True)
 
     async def serve(self, link: wire.Link, hello: wire.PeerHello) -> None:
         """Serve a link that another entry opened."""
--- a/src/cactusgauge/wire/__init__.py
+++ b/src/cactusgauge/wire/__init__.py
@@ -1,7 +1,8 @@
 """Messages between our processes, their codec and the links that carry them."""
 
 from cactusgauge.wire.codec import MAX_FRAME_BYTES, FrameCodec
-from cactusgauge.wire.dial import dial, redial_forever
+from cactusgauge.wire.dial import dial
+from cactusgauge.wire.dial_tasks import DialTasks
 from cactusgauge.wire.link import HEARTBEAT_S, SILENCE_S, Link
 from cactusgauge.wire.messages import (
     PROTOCOL_VERSION,
@@ -37,6 +38,7 @@
     "AgentHello",
     "AgentState",
     "Assign",
+    "DialTasks",
     "Entries",
     "EntryInfo",
     "FrameCodec",
@@ -57,5 +59,4 @@
     "Start",
     "Welcome",
     "dial",
-    "redial_forever",
 ]
--- /dev/null
+++ b/src/cactusgauge/wire/dial_tasks.py
@@ -0,0 +1,57 @@
+"""Tasks that keep links to a changing set of addresses."""
+
+import asyncio
+import contextlib
+import random
+from typing import TYPE_CHECKING, Self
+
+import websockets.exceptions
+
+from cactusgauge import exceptions
+
+if TYPE_CHECKING:
+    from collections import abc
+
+
+class DialTasks:
+    """One task for each address, which dials it again and again, with a random pause after each link.
+
+    `dial_once` opens a link and serves it until it ends; its errors only end that link. All tasks end with the context.
+    """
+
+    def __init__(
+        self, dial_once: "abc.Callable[[str], abc.Awaitable[None]]", min_pause_s: float, max_pause_s: float
+    ) -> None:
+        self._dial_once = dial_once
+        self._min_pause_s = min_pause_s
+        self._max_pause_s = max_pause_s
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    @property
+    def urls(self) -> set[str]:
+        """The addresses that are dialled."""
+        return set(self._tasks)
+
+    def start(self, url: str) -> None:
+        """Dial an address from now on."""
+        self._tasks[url] = asyncio.create_task(self._dial_forever(url))
+
+    def stop(self, url: str) -> None:
+        """Dial an address no more and end its link."""
+        self._tasks.pop(url).cancel()
+
+    async def _dial_forever(self, url: str) -> None:
+        while True:
+            with contextlib.suppress(
+                OSError, TimeoutError, websockets.exceptions.WebSocketException, exceptions.CactusgaugeError
+            ):
+                await self._dial_once(url)
+            await asyncio.sleep(random.uniform(self._min_pause_s, self._max_pause_s))
