Hash each accounting record once and read the streams in one place

The audit hashed every record when it was decoded and again when it joined its chain; decode now hands the hash on. No change of behaviour or of the record format.

--- a/src/cactusgauge/accounting/__init__.py
+++ b/src/cactusgauge/accounting/__init__.py
@@ -1,6 +1,6 @@
 """Accounting: records of consumption on the platform log, bills and their audit."""
 
-from cactusgauge.accounting.account_book import AccountBook, Finding, FindingKind, read_stream
+from cactusgauge.accounting.account_book import AccountBook, Finding, FindingKind
 from cactusgauge.accounting.account_record import STREAM, AccountRecord, CounterRow
 from cactusgauge.accounting.account_writer import DEFAULT_INTERVAL_S, AccountWriter, Snapshot
 from cactusgauge.accounting.audit import Audit
@@ -38,6 +38,5 @@
     "WorkerAudit",
     "WorkspaceUsage",
     "make_bill",
-    "read_stream",
     "split_cost",
 ]
--- a/src/cactusgauge/accounting/account_book.py
+++ b/src/cactusgauge/accounting/account_book.py
@@ -54,11 +54,18 @@
     explanation: str = ""
 
 
-async def read_stream(log: "platform.LogService", stream: str) -> "abc.AsyncIterator[platform.LogRecord]":
-    """Yield all retained records of a stream; raise `LogServiceError` if the log does not answer."""
+async def read_stream(
+    log: "platform.LogService", stream: str, copy: "abc.Callable[[str, platform.LogRecord], None] | None" = None
+) -> "abc.AsyncIterator[platform.LogRecord]":
+    """Yield all retained records of a stream; raise `LogServiceError` if the log does not answer.
+
+    `copy` gets the name of the stream and each record as well.
+    """
     page = await log.read(stream, 0, READ_RECORDS)
     while page.records:
         for record in page.records:
+            if copy is not None:
+                copy(stream, record)
             yield record
         page = await log.read(stream, page.records[-1].offset + 1, READ_RECORDS)
 
@@ -80,11 +87,14 @@
 
     @classmethod
     async def read(
-        cls, log: "platform.LogService", boundaries: "abc.Iterable[float]" = (-math.inf, math.inf)
+        cls,
+        log: "platform.LogService",
+        boundaries: "abc.Iterable[float]" = (-math.inf, math.inf),
+        copy: "abc.Callable[[str, platform.LogRecord], None] | None" = None,
     ) -> "AccountBook":
-        """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
+        """Read the whole retained stream as `read_stream` does."""
         book = cls(boundaries)
-        async for entry in read_stream(log, account_record.STREAM):
+        async for entry in read_stream(log, account_record.STREAM, copy):
             book.add(entry)
         return book
 
@@ -117,25 +127,25 @@
         if self._is_trimmed is None:
             self._is_trimmed = entry.offset > 0
         try:
-            record, is_intact = account_record.AccountRecord.decode(entry.data)
+            record, record_hash = account_record.AccountRecord.decode(entry.data)
         except exceptions.AccountingError:
             message = f"the record at offset {entry.offset} is no accounting record"
             self._findings.append(Finding(FindingKind.MALFORMED, "", "", None, None, message))
             return
         known = self._chains.get(record.incarnation)
-        if not is_intact:
+        if record_hash is None:
             self._damaged.add((record.incarnation, record.sequence))
             message = f"record {record.sequence} does not fit its hash: it was changed after it was made"
             self._note(FindingKind.EDITED, record, message)
         elif known is None:
-            self._chains[record.incarnation] = chain.Chain(record, self._boundaries)
+            self._chains[record.incarnation] = chain.Chain(record, record_hash, self._boundaries)
             if record.sequence > 1 and (record.incarnation, record.sequence - 1) not in self._damaged:
                 self._note_missing(1, record)
         elif record.sequence > known.last.sequence:
             self._check(known.last, known.last_hash, record)
-            known.add(record)
+            known.add(record, record_hash)
         else:
-            self._check_repeated(known, record)
+            self._check_repeated(known, record, record_hash)
 
     def _check(
         self, before: account_record.AccountRecord, before_hash: str, after: account_record.AccountRecord
@@ -152,8 +162,8 @@
             self._append_seconds.add(math.floor(before.at_s))
         self._check_growth(before, after)
 
-    def _check_repeated(self, known: "chain.Chain", record: account_record.AccountRecord) -> None:
-        is_equal = known.find_repeated(record)
+    def _check_repeated(self, known: "chain.Chain", record: account_record.AccountRecord, record_hash: str) -> None:
+        is_equal = known.find_repeated(record.sequence, record_hash)
         if is_equal is None:
             message = f"record {record.sequence} stands behind record {known.last.sequence}"
             self._note(FindingKind.BROKEN_CHAIN, record, message)
--- a/src/cactusgauge/accounting/account_record.py
+++ b/src/cactusgauge/accounting/account_record.py
@@ -67,15 +67,16 @@
 
     def encode(self) -> bytes:
         """Return the JSON document for the log, with the hash."""
-        return json.dumps({"hash": self.hash, "record": json.loads(self._canonical())}, sort_keys=True).encode()
+        return json.dumps({"hash": self.hash, "record": self.model_dump(mode="json")}, sort_keys=True).encode()
 
     @classmethod
-    def decode(cls, data: bytes) -> "tuple[AccountRecord, bool]":
-        """Return the record and whether its hash fits; raise `AccountingError` if it is no record."""
+    def decode(cls, data: bytes) -> "tuple[AccountRecord, str | None]":
+        """Return the record and its hash, None if that does not fit; raise `AccountingError` if it is no record."""
         try:
             document = json.loads(data)
             record = cls.model_validate(document["record"])
-            return record, record.hash == document["hash"]
+            own_hash = record.hash
+            return record, own_hash if own_hash == document["hash"] else None
         except (ValueError, KeyError, TypeError) as error:
             raise exceptions.AccountingError("not an accounting record") from error
 
--- a/src/cactusgauge/accounting/chain.py
+++ b/src/cactusgauge/accounting/chain.py
@@ -36,7 +36,9 @@
     Only the newest record, changes of counts and the rows at `boundaries` are kept.
     """
 
-    def __init__(self, first: "account_record.AccountRecord", boundaries: "abc.Iterable[float]") -> None:
+    def __init__(
+        self, first: "account_record.AccountRecord", first_hash: str, boundaries: "abc.Iterable[float]"
+    ) -> None:
         self._first = first
         self._last = first
         self._last_hash = ""
@@ -45,7 +47,7 @@
         self._points: list[cumulative_series.Point] = []
         self._excesses: list[Excess] = []
         self._before: dict[float, account_record.AccountRecord | None] = dict.fromkeys(boundaries)
-        self.add(first)
+        self.add(first, first_hash)
 
     @property
     def process(self) -> str:
@@ -106,12 +108,12 @@
         """Return the newest record made before one of the boundaries."""
         return self._before[boundary_s]
 
-    def add(self, record: "account_record.AccountRecord") -> None:
+    def add(self, record: "account_record.AccountRecord", record_hash: str) -> None:
         """Add a record with a higher number than all before."""
         if not self._digests or record.sequence != self._last.sequence + 1:
             self._digests.append((record.sequence, bytearray()))
-        self._last_hash = record.hash
-        self._digests[-1][1].extend(self._digest(self._last_hash))
+        self._last_hash = record_hash
+        self._digests[-1][1].extend(self._digest(record_hash))
         self._last = record
         for boundary_s in self._before:
             if record.at_s < boundary_s:
@@ -121,12 +123,12 @@
         if record.role == "agent":
             self._add_counts(record)
 
-    def find_repeated(self, record: "account_record.AccountRecord") -> bool | None:
+    def find_repeated(self, sequence: int, record_hash: str) -> bool | None:
         """Return whether an earlier record with the same number is equal, None if there is none."""
-        first, digests = next((run for run in reversed(self._digests) if run[0] <= record.sequence), (0, bytearray()))
-        index = (record.sequence - first) * DIGEST_BYTES
+        first, digests = next((run for run in reversed(self._digests) if run[0] <= sequence), (0, bytearray()))
+        index = (sequence - first) * DIGEST_BYTES
         known = digests[index : index + DIGEST_BYTES]
-        return known == self._digest(record.hash) if known else None
+        return known == self._digest(record_hash) if known else None
 
     def _add_pair(self, record: "account_record.AccountRecord", pair: pair_account.PairTotals) -> None:
         views = self._pairs.setdefault(pair.peer, [])
--- a/src/cactusgauge/accounting/report_book.py
+++ b/src/cactusgauge/accounting/report_book.py
@@ -8,6 +8,8 @@
 from cactusgauge.accounting import account_book, cumulative_series, usage_report
 
 if TYPE_CHECKING:
+    from collections import abc
+
     from cactusgauge import platform
 
 
@@ -49,10 +51,12 @@
         self._runs: dict[str, dict[str, Run]] = {}
 
     @classmethod
-    async def read(cls, log: "platform.LogService") -> "ReportBook":
-        """Read the whole retained stream; raise `LogServiceError` if the log does not answer."""
+    async def read(
+        cls, log: "platform.LogService", copy: "abc.Callable[[str, platform.LogRecord], None] | None" = None
+    ) -> "ReportBook":
+        """Read the whole retained stream as `read_stream` does."""
         book = cls()
-        async for entry in account_book.read_stream(log, usage_report.REPORT_STREAM):
+        async for entry in account_book.read_stream(log, usage_report.REPORT_STREAM, copy):
             book.add(entry)
         return book
 
--- a/src/cactusgauge/console/account_commands.py
+++ b/src/cactusgauge/console/account_commands.py
@@ -18,9 +18,6 @@
 
 CENTS = 100
 
-_log_url = click.option(
-    "--log-url", envvar="CACTUSGAUGE_LOG_URL", show_envvar=True, metavar="URL", help="URL of the platform's log."
-)
 _records = click.option(
     "--records",
     "records_path",
@@ -41,7 +38,7 @@
 
 
 @click.command()
-@_log_url
+@options.log_url
 @_records
 @options.since
 @options.until
@@ -72,7 +69,7 @@
 
 
 @click.command()
-@_log_url
+@options.log_url
 @_records
 @click.option(
     "--bill",
@@ -113,13 +110,12 @@
 
     async def read_streams(log: platform.LogService) -> tuple[accounting.AccountBook, accounting.ReportBook]:
         # The reports first: for records that are made meanwhile there is then no report yet, and none too many.
-        book, reports = accounting.AccountBook(period), accounting.ReportBook()
-        for stream, add in ((accounting.REPORT_STREAM, reports.add), (accounting.STREAM, book.add)):
-            async for entry in accounting.read_stream(log, stream):
-                add(entry)
-                if export is not None:
-                    export.write(accounting.FileAccountLog.format_line(stream, entry))
-        return book, reports
+        reports = await accounting.ReportBook.read(log, copy)
+        return await accounting.AccountBook.read(log, period, copy), reports
+
+    def copy(stream: str, entry: platform.LogRecord) -> None:
+        if export is not None:
+            export.write(accounting.FileAccountLog.format_line(stream, entry))
 
     if path is None and log_url is None:
         raise click.UsageError("give --log-url or --records")
