Count refused jobs in one place and remove small repetitions

JobService and Dispatcher both counted refusals; JobService now counts all. AgentLinks filtered linked workers twice. The comment on the connect timeout still named it as what keeps a start from leaving late, which LeasedPayload does. The capacity script started its fake entries in three places.

--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -253,13 +253,18 @@
     return samples
 
 
+def _start_fake_entries(count: int) -> tuple[list[FakeEntry], list[asyncio.Task[None]]]:
+    """Return entries that only answer, and the tasks that run them."""
+    codec = wire.FrameCodec()
+    entries = [FakeEntry(number, codec) for number in range(count)]
+    return entries, [asyncio.create_task(entry.run()) for entry in entries]
+
+
 async def measure_entry_peers(processes: cluster.Cluster) -> list[Sample]:
     """Measure an idle entry over the number of other entries."""
     samples = []
     for count in PEER_COUNTS:
-        codec = wire.FrameCodec()
-        peers = [FakeEntry(number, codec) for number in range(count)]
-        tasks = [asyncio.create_task(peer.run()) for peer in peers]
+        peers, tasks = _start_fake_entries(count)
         name = f"entry-peers-{count}"
         meter = await _start_entry(processes, name, seeds=[peer.link_url for peer in peers])
         await asyncio.sleep(SETTLE_S)
@@ -309,9 +314,7 @@
     """Measure an idle agent over the number of linked entries."""
     samples = []
     for count in ENTRY_LINK_COUNTS:
-        codec = wire.FrameCodec()
-        entries = [FakeEntry(number, codec) for number in range(count)]
-        tasks = [asyncio.create_task(entry.run()) for entry in entries]
+        entries, tasks = _start_fake_entries(count)
         name = f"agent-links-{count}"
         processes.start_agent(name, seeds=[entry.link_url for entry in entries], links_per_agent=count)
         meter = Meter(processes, name)
@@ -324,9 +327,7 @@
 
 async def measure_agent_tasks(processes: cluster.Cluster) -> list[Sample]:
     """Measure an agent over the rate of tasks, with a real HTTP backend server stand-in."""
-    codec = wire.FrameCodec()
-    entry = FakeEntry(0, codec)
-    serving = asyncio.create_task(entry.run())
+    (entry,), serving = _start_fake_entries(1)
     processes.start_agent("agent-tasks", seeds=[entry.link_url], slots=MAX_SLOTS)
     processes.start_backend_server("server-tasks", "agent-tasks", "--speed", "1")
     await asyncio.to_thread(processes.wait_ready, "agent-tasks")
@@ -340,7 +341,7 @@
         await asyncio.sleep(SETTLE_S)
         samples.append(await meter.sample(rate))
         await driver
-    await _cancel([serving])
+    await _cancel(serving)
     return samples
 
 
--- a/src/cactusgauge/agent/task_runner.py
+++ b/src/cactusgauge/agent/task_runner.py
@@ -94,7 +94,7 @@
             KIND_HEADER: start.kind,
             IDEMPOTENT_HEADER: "1" if start.idempotent else "0",
         }
-        # Nothing is sent before there is a connection, so a start never leaves after the lease has expired.
+        # A connection that opens after the lease has expired is of no use: `LeasedPayload` sends nothing then.
         connect_s = max(MIN_CONNECT_S, lease.expires_at - asyncio.get_running_loop().time())
         timeout = aiohttp.ClientTimeout(total=None, connect=connect_s)
         body = leased_payload.LeasedPayload(start.payload.encode(), self._lease, lease.id)
--- a/src/cactusgauge/dispatch/dispatcher.py
+++ b/src/cactusgauge/dispatch/dispatcher.py
@@ -129,11 +129,7 @@
     def admit(self, job: jobs.Job) -> None:
         """Queue a whole job, or raise a `RequestError` and queue nothing of it."""
         now = asyncio.get_running_loop().time()
-        try:
-            self._admission.check(job, self._queue, self._planner.capacity(now), now)
-        except exceptions.RequestError as error:
-            self._counters.add("jobs_refused", self.workspace, error.code)
-            raise
+        self._admission.check(job, self._queue, self._planner.capacity(now), now)
         self._jobs[job.id] = job
         self._queue.add(job, range(job.task_count))
         self._counters.add("jobs_accepted", self.workspace, "")
--- a/src/cactusgauge/entry/agent_links.py
+++ b/src/cactusgauge/entry/agent_links.py
@@ -63,13 +63,12 @@
     def broadcast_entries(self) -> None:
         """Tell all linked agents which entries are alive."""
         message = wire.Entries(self._members.alive)
-        for worker in self._linked_workers():
-            if worker.link is not None:
-                worker.link.post(message)
+        for _, link in self._linked_workers():
+            link.post(message)
 
     async def acknowledge_results(self) -> None:
         """Acknowledge at once what all agents reported, as one that is being stopped waits for that."""
-        linked = [(worker, worker.link) for worker in self._linked_workers() if worker.link is not None]
+        linked = self._linked_workers()
         for worker, link in linked:
             link.post(worker.heartbeat(0))
         await wire.Link.drain(link for _, link in linked)
@@ -104,8 +103,13 @@
         if message is not None and worker.link is not None:
             worker.link.post(message)
 
-    def _linked_workers(self) -> list[dispatch.RemoteWorker]:
-        return [worker for dispatcher in self._service.dispatchers for worker in dispatcher.workers if worker.link]
+    def _linked_workers(self) -> list[tuple[dispatch.RemoteWorker, wire.Link]]:
+        return [
+            (worker, worker.link)
+            for dispatcher in self._service.dispatchers
+            for worker in dispatcher.workers
+            if worker.link is not None
+        ]
 
     def _take(self, dispatcher: dispatch.Dispatcher, worker: dispatch.RemoteWorker, message: wire.Message) -> None:
         match message:
--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -129,10 +129,12 @@
         job = jobs.Job(job_id, request, now, deadline_ms)
         open_bytes = self._open_bytes.setdefault(workspace, jobs.OpenBytes(MAX_OPEN_BYTES))
         try:
-            self._check_room(open_bytes, job, workspace)
+            open_bytes.check(job.held_bytes)
             self.dispatcher(workspace).admit(job)
-        except exceptions.OverloadedError as error:
-            self._events.record("job_refused", job=str(job_id), workspace=workspace, code=error.code)
+        except exceptions.RequestError as error:
+            self._counters.add("jobs_refused", workspace, error.code)
+            if isinstance(error, exceptions.OverloadedError):
+                self._events.record("job_refused", job=str(job_id), workspace=workspace, code=error.code)
             raise
         job.count_in(open_bytes)
         session.add(job)
@@ -178,12 +180,5 @@
             for session in self._sessions.sessions
         ]
 
-    def _check_room(self, open_bytes: jobs.OpenBytes, job: jobs.Job, workspace: ids.WorkspaceName) -> None:
-        try:
-            open_bytes.check(job.held_bytes)
-        except exceptions.OverloadedError as error:
-            self._counters.add("jobs_refused", workspace, error.code)
-            raise
-
     def _on_finished(self, job: jobs.Job) -> None:
         self._sessions.mark_finished(job)
