Spend fewer system calls, wake-ups and messages on links, and start faster

Each agent sent reports to six entries up to 25 times a second, each link had a timer of its own, the event loop asked for input before every turn, and each HTTP server woke ten times a second.

Failed try: all library modules in one file, imported without searching folders, and `python3 -S`.

--- a/src/cactusgauge/fleet/agent_fleet.py
+++ b/src/cactusgauge/fleet/agent_fleet.py
@@ -6,7 +6,16 @@
 from typing import TYPE_CHECKING, Self
 
 from cactusgauge import accounting, exceptions, ids, runs, scheduling, wire
-from cactusgauge.fleet import config_exchange, entry_book, fleet_link, link_choice, messages, owner_outbox, stores
+from cactusgauge.fleet import (
+    config_exchange,
+    entry_book,
+    fleet_link,
+    link_choice,
+    link_watch,
+    messages,
+    owner_outbox,
+    stores,
+)
 
 if TYPE_CHECKING:
     from collections import abc
@@ -18,7 +27,8 @@
 DIAL_TIMEOUT_S = 1.0
 MIN_DIAL_PAUSE_S = 0.1
 MAX_DIAL_PAUSE_S = 0.3
-REPORT_DELAY_S = 0.04  # starts and ends within this time go into one report; owners learn of ends at once
+REPORT_INTERVAL_S = runs.BEAT_S  # between reports under load; owners learn of ends at once
+REPORT_MERGE_S = 0.005  # starts and ends of one moment go into one report
 BEATS_PER_GREETING = 4  # reports keep a link alive; the rest of a beat is sent less often
 DIRECTORY_POLL_S = 3.0
 DIRECTORY_POLL_UNLINKED_S = 1.0
@@ -60,6 +70,7 @@
         self._counters = counters
         self._journal = journal
         self._codec = wire.TupleCodec(messages.KINDS)
+        self._watch = link_watch.LinkWatch(counters)
         self._connections: dict[str, _EntryConnection] = {}
         self._outboxes: dict[ids.EntryIncarnation, owner_outbox.OwnerOutbox] = {}
         self._closed_accounts: collections.deque[accounting.PairTotals] = collections.deque(maxlen=MAX_CLOSED_ACCOUNTS)
@@ -67,7 +78,8 @@
         self._choice = link_choice.LinkChoice(name)
         self._seen_revisions: dict[str, int] = {}
         self._dial = wire.DialTasks(self._dial_once, MIN_DIAL_PAUSE_S, MAX_DIAL_PAUSE_S)
-        self._report_planned = False
+        self._report_timer: asyncio.TimerHandle | None = None
+        self._reported_at = float("-inf")
         self._ends_planned = False
         self._refused_owners: set[ids.EntryIncarnation] = set()
         self._exchange = config_exchange.ConfigExchange(cache)
@@ -89,6 +101,8 @@
         return self
 
     async def __aexit__(self, *exception: object) -> None:
+        if self._report_timer is not None:
+            self._report_timer.cancel()
         await self._dial.__aexit__(*exception)
 
     async def run(self, controller: runs.RunController) -> None:
@@ -96,6 +110,7 @@
         self._controller = controller
         async with asyncio.TaskGroup() as group:
             group.create_task(self._beat_forever())
+            group.create_task(self._watch.run())
             group.create_task(self._read_directory_forever())
 
     async def flush(self) -> None:
@@ -126,9 +141,8 @@
 
     def report_changed(self) -> None:
         """Plan a report to all entries."""
-        if not self._report_planned:
-            self._report_planned = True
-            asyncio.get_running_loop().call_later(REPORT_DELAY_S, self._send_reports)
+        now = asyncio.get_running_loop().time()
+        self._plan_report(max(now + REPORT_MERGE_S, self._reported_at + REPORT_INTERVAL_S))
 
     def note(self, event: str, **fields: str | float) -> None:
         """Log a decision."""
@@ -148,8 +162,17 @@
         self._post_report([each for each in self._connections.values() if each.incarnation in self._refused_owners])
         self._refused_owners.clear()
 
+    def _plan_report(self, at: float) -> None:
+        if self._report_timer is not None:
+            if self._report_timer.when() <= at:
+                return
+            self._report_timer.cancel()
+        self._report_timer = asyncio.get_running_loop().call_at(at, self._send_reports)
+
     def _send_reports(self) -> None:
-        self._report_planned = False
+        self._report_timer = None
+        self._reported_at = asyncio.get_running_loop().time()
+        self._plan_report(self._reported_at + runs.BEAT_S)
         self._post_report(self._connections.values())
 
     def _post_report(self, connections: "abc.Collection[_EntryConnection]") -> None:
@@ -171,7 +194,6 @@
         loop = asyncio.get_running_loop()
         for number in itertools.count():
             self._refresh_dial()
-            self._send_reports()
             if number % BEATS_PER_GREETING == 0:
                 self._beat()
             live = {connection.incarnation for connection in self._connections.values()}
@@ -210,7 +232,7 @@
 
     async def _dial_once(self, url: str) -> None:
         connection = await wire.dial(url, DIAL_TIMEOUT_S)
-        async with fleet_link.FleetLink(connection, self._codec, self._counters) as link:
+        async with fleet_link.FleetLink(connection, self._codec, self._counters, self._watch) as link:
             async with asyncio.timeout(HELLO_TIMEOUT_S):
                 hello = await link.receive()
             if not isinstance(hello, messages.EntryHello) or hello.protocol != messages.PROTOCOL_VERSION:
--- a/src/cactusgauge/fleet/entry_fleet.py
+++ b/src/cactusgauge/fleet/entry_fleet.py
@@ -12,7 +12,7 @@
 
 from cactusgauge import accounting, exceptions, ids, runs, scheduling, wire
 from cactusgauge import health as health_module
-from cactusgauge.fleet import agent_peer, config_exchange, entry_book, fleet_link, messages
+from cactusgauge.fleet import agent_peer, config_exchange, entry_book, fleet_link, link_watch, messages
 
 if TYPE_CHECKING:
     from collections import abc
@@ -58,6 +58,7 @@
         self._journal = journal
         self._on_finished = on_finished
         self._codec = wire.TupleCodec(messages.KINDS)
+        self._watch = link_watch.LinkWatch(counters)
         self._fleet = scheduling.FleetState()
         self._peers: dict[ids.AgentName, agent_peer.AgentPeer] = {}
         self._book = entry_book.EntryBook()
@@ -94,6 +95,7 @@
         async with listener, asyncio.TaskGroup() as group:
             group.create_task(self._beat_forever())
             group.create_task(self._tick_forever())
+            group.create_task(self._watch.run())
             for seed_number in range(MAX_SEEDS):
                 group.create_task(self._announce_forever(seed_number))
 
@@ -152,7 +154,7 @@
 
     async def _serve(self, connection: server.ServerConnection) -> None:
         with contextlib.suppress(exceptions.LinkClosedError, exceptions.ProtocolError):
-            async with fleet_link.FleetLink(connection, self._codec, self._counters) as link:
+            async with fleet_link.FleetLink(connection, self._codec, self._counters, self._watch) as link:
                 link.post(
                     messages.EntryHello(
                         messages.PROTOCOL_VERSION,
@@ -357,7 +359,7 @@
 
     async def _announce_to(self, url: str) -> None:
         connection = await wire.dial(url, DIAL_TIMEOUT_S)
-        async with fleet_link.FleetLink(connection, self._codec, self._counters) as link:
+        async with fleet_link.FleetLink(connection, self._codec, self._counters, self._watch) as link:
             while True:
                 link.post(messages.EntryAnnouncement(self._link_url))
                 message = await link.receive()
--- a/src/cactusgauge/fleet/fleet_link.py
+++ b/src/cactusgauge/fleet/fleet_link.py
@@ -14,16 +14,14 @@
     from websockets.asyncio import connection as connection_module
 
     from cactusgauge import observability
-
-SILENCE_S = 1.0  # more than six lost beats; a connection that went silent for good is replaced
-SILENCE_CHECK_S = 0.2
+    from cactusgauge.fleet import link_watch
 
 
 class FleetLink:
     """Sends and receives messages of `fleet.messages`.
 
-    Messages are posted without waiting and sent by one task. Both sides send beats of their own; a link without any
-    message for SILENCE_S is dropped.
+    Messages are posted without waiting; one task sends all that were posted in a turn of the event loop as one frame.
+    Both sides send beats of their own, and the watch drops a link that has gone silent.
     """
 
     def __init__(
@@ -31,13 +29,16 @@
         connection: "connection_module.Connection",
         codec: wire.TupleCodec,
         counters: "observability.Counters",
+        watch: "link_watch.LinkWatch",
     ) -> None:
         self._connection = connection
         self._codec = codec
         self._counters = counters
-        self._outbox: collections.deque[bytes] = collections.deque()
+        self._watch = watch
+        self._outbox: list[bytes] = []
+        self._received: collections.deque[messages.Message] = collections.deque()
         self._wake = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._writer: asyncio.Task[None] | None = None
         self._heard_at = asyncio.get_running_loop().time()
 
     @property
@@ -46,14 +47,16 @@
         return self._heard_at
 
     async def __aenter__(self) -> Self:
-        self._tasks = [asyncio.create_task(self._write()), asyncio.create_task(self._watch())]
+        self._writer = asyncio.create_task(self._write())
+        self._watch.add(self)
         return self
 
     async def __aexit__(self, *exception: object) -> None:
-        for task in self._tasks:
-            task.cancel()
+        assert self._writer is not None
+        self._watch.discard(self)
+        self._writer.cancel()
         self.abort()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(self._writer, return_exceptions=True)
 
     def post(self, message: messages.Message) -> None:
         """Queue a message for sending; order is kept."""
@@ -62,14 +65,17 @@
 
     async def receive(self) -> messages.Message:
         """Return the next message; raise `LinkClosedError` at the end and `ProtocolError` for a bad frame."""
-        try:
-            frame = await self._connection.recv()
-        except websockets.exceptions.ConnectionClosed as error:
-            raise exceptions.LinkClosedError(str(error)) from error
-        self._heard_at = asyncio.get_running_loop().time()
-        message: messages.Message = self._codec.decode(frame)
+        while not self._received:
+            try:
+                frame = await self._connection.recv()
+            except websockets.exceptions.ConnectionClosed as error:
+                raise exceptions.LinkClosedError(str(error)) from error
+            self._heard_at = asyncio.get_running_loop().time()
+            self._received.extend(self._codec.decode_all(frame))
+            self._counters.add("fleet_frames_received", "", "")
+            self._counters.add("fleet_bytes_received", "", "", len(frame))
+        message = self._received.popleft()
         self._counters.add("fleet_messages_received", "", type(message).__name__)
-        self._counters.add("fleet_bytes_received", "", type(message).__name__, len(frame))
         return message
 
     async def flush(self, timeout_s: float) -> None:
@@ -87,20 +93,8 @@
         with contextlib.suppress(websockets.exceptions.ConnectionClosed):
             while True:
                 while self._outbox:
-                    await self._connection.send(self._outbox[0])
-                    self._outbox.popleft()
+                    count = len(self._outbox)
+                    await self._connection.send(b"".join(self._outbox))
+                    del self._outbox[:count]
                 self._wake.clear()
                 await self._wake.wait()
-
-    async def _watch(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(SILENCE_CHECK_S)
-            if loop.time() - self._heard_at < SILENCE_S:
-                continue
-            # A process that was itself paused first reads what has arrived meanwhile.
-            await asyncio.sleep(SILENCE_CHECK_S)
-            if loop.time() - self._heard_at >= SILENCE_S:
-                self._counters.add("fleet_links_silent", "", "")
-                self.abort()
-                return
--- a/src/cactusgauge/fleet/link_choice.py
+++ b/src/cactusgauge/fleet/link_choice.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections import abc
 
-LINKS_PER_AGENT = 6  # all entries of a small deployment; 32 workers for each of 14 entries with 76 workers
+LINKS_PER_AGENT = 4  # all entries of a small deployment; 21 workers for each of 14 entries with 76 workers
 DIAL_PATIENCE_S = 1.5  # an entry that has not answered for so long does not count, and another one is dialled
 
 
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -9,7 +9,7 @@
 
 from cactusgauge import ids, scheduling
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 class EntryHello(NamedTuple):
--- a/src/cactusgauge/http_server.py
+++ b/src/cactusgauge/http_server.py
@@ -39,8 +39,12 @@
                 lifespan="off",
                 backlog=BACKLOG,
                 timeout_keep_alive=keep_alive_s,
+                date_header=False,
+                server_header=False,
+                proxy_headers=False,
             )
         )
+        self._stop_asked = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> "abc.Generator[None]":
@@ -59,6 +63,11 @@
     def stop(self) -> None:
         """Stop accepting connections and return from `run_until_stopped` once open requests are answered."""
         self.should_exit = True
+        self._stop_asked.set()
+
+    async def main_loop(self) -> None:
+        """Wait for `stop`; uvicorn's own loop wakes ten times a second to look for it."""
+        await self._stop_asked.wait()
 
     async def shutdown(self, sockets: "list[socket.socket] | None" = None) -> None:
         """Close the listener, let open requests end and close all connections."""
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -14,7 +14,7 @@
 import click
 from absl import logging
 
-from cactusgauge import accounting, boot_time_loop, exceptions, fleet, http_server, ids, observability, runs
+from cactusgauge import accounting, event_loop, exceptions, fleet, http_server, ids, observability, runs
 from cactusgauge.platform import (
     config_document,
     control_port,
@@ -90,8 +90,8 @@
         return http_server.HttpServer(app, address.host, address.port, keep_alive_s)
 
 
-async def run_entry(path: pathlib.Path) -> None:
-    """Run an entry until it is told to stop."""
+async def run_entry(path: pathlib.Path, link_listen: node_settings.Address | None) -> None:
+    """Run an entry until it is told to stop; `link_listen` replaces the address that agents are told."""
     async with aiohttp.ClientSession() as session:
         node = Node(path, session)
         own = node.own
@@ -110,6 +110,7 @@
         desk.attach(entry.scheduler)
         front = front_port.FrontPort(desk, node.cache, entry, node.counters, node.journal)
         ready = front_port.ReadyPort(front, node.counters)
+        link = link_listen or node_settings.Address(f"{own.host}:{own.link_port}")
         server = node.listen("front", front, 60)
         side_servers = [node.listen("ready", ready, 60)]
         if own.address("control") is not None:
@@ -118,7 +119,7 @@
         async with (
             node.accounts("entry", entry.incarnation, entry.take_accounts),
             node.background(
-                entry.run(own.host, own.link_port),
+                entry.run(link.host, link.port),
                 _publish_forever(node),
                 *(each.run_until_stopped() for each in side_servers),
             ),
@@ -215,7 +216,13 @@
 @click.command()
 @click.argument("role", type=click.Choice(["entry", "agent"]))
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(role: str, check: bool) -> None:
+@click.option(
+    "--link-listen",
+    type=node_settings.Address,
+    metavar="HOST:PORT",
+    help="Listen here for agents, where their connections come through a proxy at the advertised address.",
+)
+def main(role: str, check: bool, link_listen: node_settings.Address | None) -> None:
     """Run a process of cactusgauge on the platform, with the settings file that the environment names."""
     logging.set_verbosity(logging.WARNING)
     for library in ("uvicorn", "websockets", "asyncio"):
@@ -226,8 +233,8 @@
             click.echo(f"{path}: ok, node {node_settings.load(path).name}")
             return
         gc.freeze()
-        with asyncio.Runner(loop_factory=boot_time_loop.BootTimeEventLoop) as runner:
-            runner.run(run_entry(path) if role == "entry" else run_agent(path))
+        with asyncio.Runner(loop_factory=event_loop.BootTimeEventLoop) as runner:
+            runner.run(run_entry(path, link_listen) if role == "entry" else run_agent(path))
     except exceptions.SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -14,7 +14,6 @@
 
 START_ATTEMPTS = 3  # the order is idempotent, and a reply that is late by several times the usual delay seldom comes
 RETRY_PAUSE_S = 0.02
-GRANT_CHECK_S = 0.03  # a small part of the time that grants leave for stops
 MISSED_HEARTBEATS = 3
 UNREPLIED = "no_reply"
 
@@ -69,7 +68,7 @@
         self._acknowledged_end = 0
         self._listing_number = 0
         self._wake = asyncio.Event()
-        self._has_grants = asyncio.Event()
+        self._grant_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -91,10 +90,11 @@
 
     async def __aenter__(self) -> Self:
         self._spawn(self._hold_forever())
-        self._spawn(self._check_grants_forever())
         return self
 
     async def __aexit__(self, *exception: object) -> None:
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -165,7 +165,8 @@
         if not self._ledger.runs:
             return  # a start brings a grant of its own
         self._grants[owner] = max(self._grants.get(owner, until), until)
-        self._has_grants.set()
+        if self._grant_timer is None or until < self._grant_timer.when():
+            self._plan_grant_check()
 
     def start(self, new: run_ledger.NewRun, stamped_at: float) -> None:
         """Start a run of an entry whose knowledge of this agent dates from `stamped_at`."""
@@ -376,21 +377,26 @@
         ):
             await self._client.stop(key, self._token)  # the next listing shows whether it has to be repeated
 
-    async def _check_grants_forever(self) -> None:
-        while True:
-            await self._has_grants.wait()
-            await asyncio.sleep(GRANT_CHECK_S)
-            if not self._grants:
-                self._has_grants.clear()
-            now = asyncio.get_running_loop().time()
-            for owner, until in list(self._grants.items()):
-                if now < until:
-                    continue
-                del self._grants[owner]
-                runs = self._ledger.owned_by(owner)
-                if runs:
-                    self._observer.note("grant_ended", entry=owner, runs=len(runs), late_ms=round((now - until) * 1000))
-                    self.stop([run.key for run in runs], "grant_ended")
+    def _plan_grant_check(self) -> None:
+        if self._grant_timer is not None:
+            self._grant_timer.cancel()
+        self._grant_timer = None
+        if self._grants:
+            self._grant_timer = asyncio.get_running_loop().call_at(min(self._grants.values()), self._check_grants)
+
+    def _check_grants(self) -> None:
+        """Stop the runs of entries whose grants have ended."""
+        now = asyncio.get_running_loop().time()
+        for owner, until in list(self._grants.items()):
+            if now < until:
+                continue
+            del self._grants[owner]
+            owned = self._ledger.owned_by(owner)
+            if owned:
+                self._observer.note("grant_ended", entry=owner, runs=len(owned), late_ms=round((now - until) * 1000))
+                self.stop([run.key for run in owned], "grant_ended")
+        self._grant_timer = None
+        self._plan_grant_check()
 
     def _end(self, run: run_ledger.Run, kind: scheduling.EndKind, reason: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/cactusgauge/wire/codec.py
+++ b/src/cactusgauge/wire/codec.py
@@ -1,6 +1,7 @@
 """CBOR codec of the messages."""
 
 import enum
+import io
 from typing import TYPE_CHECKING, Any
 
 import cbor2
@@ -35,9 +36,20 @@
 
     def decode(self, frame: bytes | str) -> Any:
         """Return the message of a frame; raise `ProtocolError` if it is malformed or of an unknown kind."""
+        messages_ = self.decode_all(frame)
+        if len(messages_) != 1:
+            raise exceptions.ProtocolError(f"one message expected in a frame, found {len(messages_)}")
+        return messages_[0]
+
+    def decode_all(self, frame: bytes | str) -> list[Any]:
+        """Return the messages of a frame, which follow each other as a CBOR sequence."""
         if isinstance(frame, str):
             raise exceptions.ProtocolError("text frame where a binary frame is expected")
-        fields = self._load(frame)
+        return [self._to_message(fields) for fields in self._load(frame)]
+
+    def _to_message(self, fields: Any) -> Any:
+        if not isinstance(fields, list) or not fields:
+            raise exceptions.ProtocolError("frame is not a non-empty array")
         kind = fields[0]
         if type(kind) is not int or not 0 <= kind < len(self._adapters):
             raise exceptions.ProtocolError("unknown message kind")  # a huge integer has no repr
@@ -48,14 +60,16 @@
             raise exceptions.ProtocolError(f"malformed {name}: {error.error_count()} findings") from error
 
     @staticmethod
-    def _load(frame: bytes) -> "abc.Sequence[Any]":
+    def _load(frame: bytes) -> list[Any]:
+        stream = io.BytesIO(frame)
+        decoder = cbor2.CBORDecoder(stream)
+        items = []
         try:
-            fields = cbor2.loads(frame)
+            while stream.tell() < len(frame):
+                items.append(decoder.decode())
         except (cbor2.CBORDecodeError, ValueError, TypeError, OverflowError, RecursionError, MemoryError) as error:
             raise exceptions.ProtocolError(f"frame is not CBOR: {error}") from error
-        if not isinstance(fields, list) or not fields:
-            raise exceptions.ProtocolError("frame is not a non-empty array")
-        return fields
+        return items
 
 
 class FrameCodec(TupleCodec):
