Add a randomized fault soak with real processes

Entries and agents run as separate processes on loopback addresses of their own, against stand-ins of the store and of the workers in the process of the soak. Faults are drawn from a seed, come in series and overlap: processes killed, paused, stopped and reloaded by signals; links cut in one or both directions, delayed, reset and silenced for good by a proxy; workers that crash, restart under the same id, drain, turn slow, fail all, stay mute or carry orders out late; a store that is busy, slow, silent, cut off from one process, or loses answers; configurations that change meanwhile.

While it runs, callers hand in jobs, send them again after silence, leave and cancel.

--- a/src/emulator/leased_worker.py
+++ b/src/emulator/leased_worker.py
@@ -13,27 +13,33 @@
 
 
 @dataclasses.dataclass
-class _Run:
+class RunRecord:
+    """One run that began here, in seconds of the loop's clock; `kind` is None while it is at work."""
+
     key: ids.RunKey
-    ends_at: float
-    fails: bool
+    payload: str
+    started_at: float
+    due_at: float
+    ended_at: float = float("inf")
+    kind: scheduling.EndKind | None = None
     stopping_at: float | None = None
 
 
 class LeasedWorker(runs.WorkerClient):
-    """Runs tasks for a time that `duration_s` gives; time is the loop's clock.
+    """Runs tasks for a time that `duration_s` gives; time is the loop's clock, the worker's own may be slower.
 
     `is_silent` withholds replies, `is_deaf` also ignores orders. Orders in `late_orders` are carried out when a test
-    calls them. `starts` holds every run that began, with its time.
+    calls them. `history` holds every run that began.
     """
 
-    def __init__(self, duration_s: "abc.Callable[[ids.RunKey], float]", life: int = 1) -> None:
+    def __init__(self, duration_s: "abc.Callable[[ids.RunKey], float]", life: int = 1, clock_rate: float = 1.0) -> None:
         self._duration_s = duration_s
         self._started_at = asyncio.get_running_loop().time()
+        self._clock_rate = clock_rate
         self._life = life
         self._token = 0
         self._lease_until_s = 0.0
-        self._runs: dict[ids.TaskKey, _Run] = {}
+        self._runs: dict[ids.TaskKey, RunRecord] = {}
         self._highest: dict[ids.TaskKey, int] = {}
         self._ends: list[runs.WorkerEnd] = []
         self._end_count = 0
@@ -41,13 +47,19 @@
         self.is_deaf = False
         self.is_down = False
         self.fails: set[ids.JobKey] = set()
-        self.starts: list[tuple[ids.RunKey, float]] = []
+        self.fails_all = False
+        self.history: list[RunRecord] = []
         self.late_orders: list[abc.Callable[[], object]] = []
 
     @property
     def clock_s(self) -> float:
         """The worker's own clock."""
-        return asyncio.get_running_loop().time() - self._started_at
+        return (asyncio.get_running_loop().time() - self._started_at) * self._clock_rate
+
+    @property
+    def life(self) -> int:
+        """Number of this start of the worker."""
+        return self._life
 
     @property
     def running(self) -> list[ids.RunKey]:
@@ -55,6 +67,20 @@
         self._advance()
         return [run.key for run in self._runs.values()]
 
+    @property
+    def starts(self) -> list[tuple[ids.RunKey, float]]:
+        """Every run that began, with its time."""
+        return [(run.key, run.started_at) for run in self.history]
+
+    def crash(self) -> None:
+        """End everything that runs, as the machine is gone; the ends are never listed."""
+        self._advance()
+        now = asyncio.get_running_loop().time()
+        for run in self._runs.values():
+            run.ended_at, run.kind = now, scheduling.EndKind.LOST
+        self._runs.clear()
+        self.is_down = True
+
     async def start(self, order: runs.StartOrder) -> runs.StartReply:
         """Start a run."""
         await self._receive(lambda: self._start(order))
@@ -109,8 +135,9 @@
             return runs.StartReply(runs.StartVerdict.EXPIRED, self.clock_s)
         now = asyncio.get_running_loop().time()
         self._extend(order.lease_until_s)
-        self._runs[key.task] = _Run(key, now + self._duration_s(key), key.job in self.fails)
-        self.starts.append((key, now))
+        run = RunRecord(key, order.payload, now, now + self._duration_s(key))
+        self._runs[key.task] = run
+        self.history.append(run)
         return runs.StartReply(runs.StartVerdict.STARTED, self.clock_s)
 
     def _stop(self, key: ids.RunKey, fencing_token: int) -> bool:
@@ -135,14 +162,16 @@
     def _advance(self) -> None:
         """End what has ended by now."""
         now = asyncio.get_running_loop().time()
-        lease_end = self._started_at + self._lease_until_s
+        lease_end = self._started_at + self._lease_until_s / self._clock_rate
         for run in list(self._runs.values()):
-            ends = [(run.ends_at, scheduling.EndKind.FAILED if run.fails else scheduling.EndKind.DONE)]
+            fails = self.fails_all or run.key.job in self.fails
+            ends = [(run.due_at, scheduling.EndKind.FAILED if fails else scheduling.EndKind.DONE)]
             if run.stopping_at is not None:
                 ends.append((run.stopping_at, scheduling.EndKind.STOPPED))
             ends.append((lease_end, scheduling.EndKind.LOST))
             at, kind = min(ends, key=lambda end: end[0])
             if at <= now:
+                run.ended_at, run.kind = at, kind
                 del self._runs[run.key.task]
                 self._highest[run.key.task] = max(self._highest.get(run.key.task, 0), run.key.run)
                 self._end_count += 1
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,57 @@
+"""Runs the soak by hand: `python -m tests.soak --seeds 1-50`."""
+
+import asyncio
+import logging
+import pathlib
+import sys
+import tempfile
+import time
+
+import click
+
+from tests.soak import soak
+
+
+def _seeds(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+@click.command()
+@click.option("--seeds", default="", help="One seed or a range such as 1-50; without it, one is drawn from the time.")
+@click.option("--seconds", default=45.0, show_default=True, help="Length of a run.")
+@click.option("--entries", default=3, show_default=True)
+@click.option("--agents", default=5, show_default=True)
+@click.option("--jobs-per-s", default=8.0, show_default=True)
+@click.option("--network", default=20, show_default=True, help="Second number of the loopback addresses, 1 to 254.")
+@click.option("--logs", type=click.Path(path_type=pathlib.Path), help="Folder for the logs of the processes.")
+def main(
+    seeds: str,
+    seconds: float,
+    entries: int,
+    agents: int,
+    jobs_per_s: float,
+    network: int,
+    logs: pathlib.Path | None,
+) -> None:
+    """Run the soak with some seeds; exits with 1 if a promise was broken."""
+    size = soak.Size(entries, agents, jobs_per_s)
+    root = logs or pathlib.Path(tempfile.mkdtemp(prefix="cactusgauge-soak-"))
+    broken = False
+    for seed in _seeds(seeds) if seeds else [int(time.time())]:
+        folder = root / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        logging.disable(logging.CRITICAL)  # the stand-ins' servers report connections that the faults break
+        result = asyncio.run(soak.Soak(seed, seconds, size, folder, network).run())
+        click.echo(
+            f"seed {seed}: {result.jobs} jobs, {result.succeeded} succeeded, {result.refused} refused, "
+            f"{len(result.findings)} findings; logs in {folder}"
+        )
+        for finding in result.findings[:20]:
+            click.echo(f"  {finding.promise}: {finding.detail}")
+        broken = broken or bool(result.findings)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,173 @@
+"""Callers that hand in jobs, wait, send again, leave and cancel."""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import random
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections import abc
+
+RESEND_S = 1.3  # after no answer, a broken connection, 502 or 504
+REFUSALS = (429, 503)
+ROUTE_HOST = "jobs.example"
+
+
+class Wish(enum.Enum):
+    """What a caller does with its job."""
+
+    WAIT = "wait"
+    LEAVE = "leave"
+    CANCEL = "cancel"
+
+
+@dataclasses.dataclass
+class Shape:
+    """A kind of job: equal tasks of one step."""
+
+    path: str
+    tasks: int
+    cpu_millicores: int
+    run_s: float
+    deadline_s: float
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a job: the status it got, 0 for none."""
+
+    entry: str
+    sent_at: float
+    ended_at: float = float("inf")
+    status: int = 0
+    state: str = ""
+
+
+@dataclasses.dataclass
+class JobRecord:
+    """A job and all that its caller saw."""
+
+    job: str
+    shape: Shape
+    payload: str
+    wish: Wish
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+    canceled_at: float | None = None  # when the caller left, or its cancellation was acknowledged
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether every attempt was refused as not run."""
+        return all(attempt.status in REFUSALS for attempt in self.attempts)
+
+    @property
+    def state(self) -> str:
+        """The final state that the caller was told, or an empty string."""
+        return self.attempts[-1].state if self.attempts else ""
+
+
+class Callers:
+    """Hands in jobs at a rate; `records` holds them all."""
+
+    def __init__(self, entries: dict[str, str], shapes: "abc.Sequence[Shape]", draw: random.Random) -> None:
+        self._entries = entries
+        self._shapes = shapes
+        self._draw = draw
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.ready: set[str] = set(entries)
+        self.records: dict[str, JobRecord] = {}
+
+    async def submit_forever(self, session: aiohttp.ClientSession, per_second: float) -> None:
+        """Hand in jobs until cancelled."""
+        while True:
+            await asyncio.sleep(self._draw.expovariate(per_second))
+            wish = self._draw.choices([Wish.WAIT, Wish.LEAVE, Wish.CANCEL], [0.9, 0.05, 0.05])[0]
+            record = JobRecord(f"{self._draw.getrandbits(64):016x}", self._draw.choice(self._shapes), "", wish)
+            record.payload = f"payload of {record.job}"
+            self.records[record.job] = record
+            task = asyncio.create_task(self._see_through(session, record))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def finish(self) -> None:
+        """Wait until every caller has its answer or has reached its deadline."""
+        await asyncio.gather(*self._tasks)
+
+    async def watch_ready(self, session: aiohttp.ClientSession, urls: dict[str, str]) -> None:
+        """Choose entries as the platform's balancer does: two missed checks take one out."""
+        misses = dict.fromkeys(urls, 0)
+        while True:
+            for name, url in urls.items():
+                status, _ = await request(session, "GET", f"{url}/-/ready", None, 0.5)
+                misses[name] = 0 if status == 200 else misses[name] + 1
+            ready = {name for name, count in misses.items() if count < 2}
+            self.ready = ready or set(urls)
+            await asyncio.sleep(1.0)
+
+    async def _see_through(self, session: aiohttp.ClientSession, record: JobRecord) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + record.shape.deadline_s
+        while True:
+            attempt = Attempt(self._draw.choice(sorted(self.ready)), loop.time())
+            record.attempts.append(attempt)
+            leaves_after_s = self._draw.uniform(0, record.shape.run_s) if record.wish is Wish.LEAVE else None
+            cancel = None
+            if record.wish is Wish.CANCEL and len(record.attempts) == 1:
+                cancel = asyncio.create_task(self._cancel(session, record))
+            left_s = deadline - loop.time()
+            attempt.status, attempt.state = await self._post(
+                session, record, attempt, min(left_s, leaves_after_s or 99)
+            )
+            attempt.ended_at = loop.time()
+            if cancel is not None:
+                await cancel
+            if leaves_after_s is not None and attempt.status == 0:
+                record.canceled_at = loop.time()
+                return
+            if attempt.status not in (0, 502, 504) or record.canceled_at is not None:
+                return
+            if loop.time() + RESEND_S >= deadline:
+                record.canceled_at = loop.time()  # it reads no answer any more
+                return
+            await asyncio.sleep(RESEND_S)
+
+    async def _post(
+        self, session: aiohttp.ClientSession, record: JobRecord, attempt: Attempt, left_s: float
+    ) -> tuple[int, str]:
+        shape = record.shape
+        step = {
+            "count": shape.tasks,
+            "cpu": shape.cpu_millicores,
+            "mem_mb": 64,
+            "estimate_ms": int(shape.run_s * 1000),
+        }
+        body = {"spec": record.payload, "steps": [step], "best_effort": True}
+        url = f"{self._entries[attempt.entry]}{shape.path}{record.job}"
+        status, content = await request(session, "POST", url, body, left_s)
+        return status, str(content.get("state", ""))
+
+    async def _cancel(self, session: aiohttp.ClientSession, record: JobRecord) -> None:
+        await asyncio.sleep(self._draw.uniform(0, record.shape.run_s))
+        entry = self._draw.choice(sorted(self.ready))
+        url = f"{self._entries[entry]}{record.shape.path}{record.job}"
+        status, _ = await request(session, "DELETE", url, None, 2.0)
+        if status == 200:
+            record.canceled_at = asyncio.get_running_loop().time()
+
+
+async def request(
+    session: aiohttp.ClientSession, method: str, url: str, body: object, timeout_s: float
+) -> tuple[int, dict[str, object]]:
+    """Return status and body, or status 0 without a whole answer."""
+    headers = {"Host": ROUTE_HOST, "Deadline-Ms": str(int(timeout_s * 1000))}
+    try:
+        async with session.request(
+            method, url, json=body, headers=headers, timeout=aiohttp.ClientTimeout(total=timeout_s)
+        ) as response:
+            content = await response.read()
+            return response.status, json.loads(content) if content.startswith(b"{") else {}
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return 0, {}
--- /dev/null
+++ b/tests/soak/process.py
@@ -0,0 +1,86 @@
+"""One process of cactusgauge, started as the platform starts it and harmed by signals."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+from typing import Any, Self
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+GRACE_S = 6.0  # between SIGTERM and SIGKILL, as on the platform
+
+
+class SoakProcess:
+    """Runs `deploy/node.py`; a process that ends is started again, as the platform does."""
+
+    def __init__(self, role: str, settings: dict[str, Any], options: list[str], folder: pathlib.Path) -> None:
+        self.name = str(settings["node"])
+        self._command = [sys.executable, "deploy/node.py", role, *options]
+        self._settings = folder / f"{self.name}.json"
+        self._settings.write_text(json.dumps(settings))
+        self._log = folder / f"{self.name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self._restart_after_s = 0.0
+        self.exits: list[int] = []
+        self.stopped_at = float("-inf")  # time of the last SIGTERM
+
+    async def __aenter__(self) -> Self:
+        await self._start()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        process = self._process
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
+
+    async def keep_running(self) -> None:
+        """Start the process again whenever it has ended."""
+        while True:
+            assert self._process is not None
+            code = await self._process.wait()
+            self.exits.append(code)
+            await asyncio.sleep(max(0.3, self._restart_after_s))
+            self._restart_after_s = 0.0
+            await self._start()
+
+    def kill(self, down_s: float = 0.0) -> None:
+        """End the process at once, as a machine that loses power for some seconds."""
+        self._restart_after_s = down_s
+        self._signal(signal.SIGKILL)
+
+    async def pause(self, seconds: float) -> None:
+        """Suspend the process for some seconds."""
+        self._signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._signal(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """Ask the process to stop and kill it after the grace."""
+        process = self._process
+        self.stopped_at = asyncio.get_running_loop().time()
+        self._signal(signal.SIGTERM)
+        await asyncio.sleep(GRACE_S)
+        if process is self._process:
+            self._signal(signal.SIGKILL)
+
+    def reload(self) -> None:
+        """Tell the process that its settings have changed."""
+        self._signal(signal.SIGHUP)
+
+    async def _start(self) -> None:
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._command,
+                cwd=ROOT,
+                env={"CACTUSGAUGE_NODE_FILE": str(self._settings), "PATH": "/usr/bin:/bin"},
+                stdout=log,
+                stderr=log,
+            )
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None:
+            with contextlib.suppress(ProcessLookupError):  # it has ended and is about to be started again
+                self._process.send_signal(number)
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,136 @@
+"""A TCP proxy whose connections a test can harm."""
+
+import asyncio
+import contextlib
+import random
+from typing import Self
+
+CHUNK_BYTES = 64 * 1024
+
+
+class _Direction:
+    """One direction of all connections: held while it is cut, delayed otherwise."""
+
+    def __init__(self) -> None:
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+        self.delay_s = 0.0
+
+
+class _Connection:
+    """Two streams; a silenced connection stays open and passes nothing any more."""
+
+    def __init__(self, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
+        self.near = near
+        self.far = far
+        self.is_silenced = False
+
+    def reset(self) -> None:
+        """Close both sides at once."""
+        self.near.transport.abort()
+        self.far.transport.abort()
+
+
+class Proxy:
+    """Forwards connections of one address to another one; is a context manager."""
+
+    def __init__(self, listen: tuple[str, int], target: tuple[str, int]) -> None:
+        self._listen = listen
+        self._target = target
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._forward = _Direction()
+        self._backward = _Direction()
+
+    async def __aenter__(self) -> Self:
+        await self.accept()
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        self.refuse()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def accept(self) -> None:
+        """Listen again after `refuse`."""
+        if self._server is None:
+            self._server = await asyncio.start_server(self._serve, *self._listen)
+
+    def refuse(self) -> None:
+        """Refuse new connections and reset the open ones."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self._connections):
+            connection.reset()
+
+    def cut(self, forward: bool, backward: bool) -> None:
+        """Hold the bytes of one or both directions, of open and new connections."""
+        if forward:
+            self._forward.is_open.clear()
+        if backward:
+            self._backward.is_open.clear()
+
+    def delay(self, seconds: float) -> None:
+        """Delay each chunk of both directions."""
+        self._forward.delay_s = self._backward.delay_s = seconds
+
+    def heal(self) -> None:
+        """Pass everything again; what was held follows."""
+        self._forward.is_open.set()
+        self._backward.is_open.set()
+        self.delay(0.0)
+
+    def reset(self, share: float, draw: random.Random) -> None:
+        """Reset a share of the open connections."""
+        for connection in self._choose(share, draw):
+            connection.reset()
+
+    def silence(self, share: float, draw: random.Random) -> None:
+        """Silence a share of the open connections for good; new ones work."""
+        for connection in self._choose(share, draw):
+            connection.is_silenced = True
+
+    def _choose(self, share: float, draw: random.Random) -> list[_Connection]:
+        return [each for each in list(self._connections) if draw.random() < share]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()  # the caller sees what it would see without the proxy
+            return
+        connection = _Connection(writer, far_writer)
+        self._connections.add(connection)
+        pumps = [
+            asyncio.create_task(self._pump(reader, far_writer, self._forward, connection)),
+            asyncio.create_task(self._pump(far_reader, writer, self._backward, connection)),
+        ]
+        self._tasks.update(pumps)
+        try:
+            await asyncio.wait(pumps)
+        finally:
+            connection.reset()
+            self._connections.discard(connection)
+            self._tasks.difference_update(pumps)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: _Direction,
+        connection: _Connection,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(CHUNK_BYTES):
+                await direction.is_open.wait()
+                if direction.delay_s:
+                    await asyncio.sleep(direction.delay_s)
+                if connection.is_silenced:
+                    continue
+                writer.write(chunk)
+                await writer.drain()
+            if not connection.is_silenced and writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,48 @@
+"""The platform's store as the processes see it, with the faults of a store."""
+
+import asyncio
+import enum
+import random
+
+from cactusgauge.platform import asgi
+from tests.unit.platform import store_stand_in
+
+SLOW_S = 0.4  # a hundred times the usual reply
+
+
+class StoreFault(enum.Enum):
+    """What the store does instead of serving."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SLOW = "slow"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses_answers"
+
+
+class FaultyStore:
+    """ASGI application before a `StoreStandIn`; a silent store answers once the fault has ended."""
+
+    def __init__(self, store: store_stand_in.StoreStandIn, draw: random.Random) -> None:
+        self._store = store
+        self._draw = draw
+        self.fault = StoreFault.NONE
+
+    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        """Serve a call, or fail it."""
+        if self.fault is StoreFault.BUSY:
+            await asgi.respond(send, 503, {})
+            return
+        if self.fault is StoreFault.SLOW:
+            await asyncio.sleep(SLOW_S)
+        while self.fault is StoreFault.SILENT:
+            await asyncio.sleep(0.05)
+        if self.fault is StoreFault.LOSES_ANSWERS and self._draw.random() < 0.5:
+            await self._store(scope, receive, _discard)
+            await asyncio.sleep(5.0)  # longer than any timeout of the store's client
+        else:
+            await self._store(scope, receive, send)
+
+
+async def _discard(message: dict[str, object]) -> None:
+    """Send nothing."""
--- a/tests/unit/platform/store_stand_in.py
+++ b/tests/unit/platform/store_stand_in.py
@@ -38,6 +38,8 @@
     ) -> None:
         """Answer one call."""
         body = await asgi.read_body(receive, 1_000_000)
+        if body is None:
+            return  # the caller has left
         query = dict(part.split("=", 1) for part in scope["query_string"].decode().split("&") if part)
         if self.status != 200:
             await asgi.respond(send, self.status, {})
@@ -46,7 +48,6 @@
         if scope["path"] == "/-/log-newest":
             await asgi.respond(send, 200, self._newest(records, query.get("depends_on", "")))
         elif scope["path"] == "/-/log-append":
-            assert body is not None
             records.append(body[LENGTH.size :])
             await asgi.respond(send, 200, {"offset": len(records) - 1, "end": len(records)})
         else:
@@ -77,14 +78,16 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(app: "abc.Callable[..., abc.Awaitable[None]]", port: int) -> "abc.AsyncIterator[str]":
-    """Serve an application on a port of the loopback address and return its URL."""
-    server = http_server.HttpServer(app, "127.0.0.1", port)
+async def serving(
+    app: "abc.Callable[..., abc.Awaitable[None]]", port: int, host: str = "127.0.0.1"
+) -> "abc.AsyncIterator[str]":
+    """Serve an application on a loopback address and return its URL."""
+    server = http_server.HttpServer(app, host, port)
     task = asyncio.create_task(server.run_until_stopped())
     while not server.started:
         await asyncio.sleep(0.01)
     try:
-        yield f"http://127.0.0.1:{port}"
+        yield f"http://{host}:{port}"
     finally:
         server.stop()
         await task
