--- a/deploy/node.py
+++ b/deploy/node.py
@@ -3,9 +3,13 @@
 import gc
 import os
 import pathlib
+import signal
 import sys
 
-gc.disable()  # until all modules are imported, which creates many objects and hardly any garbage
+# The settings are read later; until they are watched, the signal that they have changed must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+gc.disable()  # imports create many objects and hardly any garbage; `main` switches it on again
 
 # All calls are plain HTTP; without this, importing aiohttp loads the certificates of the system.
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
@@ -16,5 +20,4 @@
 from cactusgauge.platform import node
 
 if __name__ == "__main__":
-    gc.enable()
     node.main()
--- a/src/cactusgauge/fleet/agent_fleet.py
+++ b/src/cactusgauge/fleet/agent_fleet.py
@@ -30,7 +30,7 @@
 REPORT_INTERVAL_S = runs.BEAT_S  # between reports under load; owners learn of ends at once
 REPORT_MERGE_S = 0.005  # starts and ends of one moment go into one report
 BEATS_PER_GREETING = 4  # reports keep a link alive; the rest of a beat is sent less often
-DIRECTORY_POLL_S = 3.0
+DIRECTORY_POLL_S = 10.0  # linked entries tell of the others as well
 DIRECTORY_POLL_UNLINKED_S = 1.0
 UNREACHED_S = 10.0  # after so long without a link, an address that nobody mentions is dropped
 FORGET_OWNER_S = 10.0
@@ -44,6 +44,7 @@
     def __init__(self, link: fleet_link.FleetLink, hello: messages.EntryHello) -> None:
         self.link = link
         self.incarnation = hello.incarnation
+        self.config_version = hello.config_version
 
 
 class AgentFleet(runs.RunObserver):
@@ -83,6 +84,7 @@
         self._ends_planned = False
         self._refused_owners: set[ids.EntryIncarnation] = set()
         self._exchange = config_exchange.ConfigExchange(cache)
+        self._config_delays = config_exchange.CopyDelays()
         self._controller: runs.RunController | None = None
         cache.add_listener(self._beat)
 
@@ -110,7 +112,6 @@
         self._controller = controller
         async with asyncio.TaskGroup() as group:
             group.create_task(self._beat_forever())
-            group.create_task(self._watch.run())
             group.create_task(self._read_directory_forever())
 
     async def flush(self) -> None:
@@ -132,7 +133,7 @@
         if outbox is None:
             return
         outbox.add(end)
-        if end.reason == runs.NO_ROOM:
+        if end.kind is scheduling.EndKind.NOT_STARTED:
             self._refused_owners.add(owner)
         if not self._ends_planned:
             self._ends_planned = True
@@ -158,8 +159,12 @@
             ends = self._outboxes[connection.incarnation].take_unsent()
             if ends:
                 connection.link.post(messages.Ends(ends))
-        # The views of these entries are wrong, so they do not wait for the next coalesced report.
-        self._post_report([each for each in self._connections.values() if each.incarnation in self._refused_owners])
+        now = asyncio.get_running_loop().time()
+        if now >= self._reported_at + REPORT_INTERVAL_S:
+            self._send_reports()  # in one frame with the ends
+        else:
+            # The views of these entries are wrong, so they do not wait for the next report.
+            self._post_report([each for each in self._connections.values() if each.incarnation in self._refused_owners])
         self._refused_owners.clear()
 
     def _plan_report(self, at: float) -> None:
@@ -170,6 +175,8 @@
         self._report_timer = asyncio.get_running_loop().call_at(at, self._send_reports)
 
     def _send_reports(self) -> None:
+        if self._report_timer is not None:
+            self._report_timer.cancel()
         self._report_timer = None
         self._reported_at = asyncio.get_running_loop().time()
         self._plan_report(self._reported_at + runs.BEAT_S)
@@ -193,7 +200,10 @@
     async def _beat_forever(self) -> None:
         loop = asyncio.get_running_loop()
         for number in itertools.count():
-            self._refresh_dial()
+            if number % BEATS_PER_GREETING == 0 or len(self._connections) < link_choice.LINKS_PER_AGENT:
+                self._refresh_dial()
+            self._watch.check(loop.time())
+            self._copy_config(loop.time())
             if number % BEATS_PER_GREETING == 0:
                 self._beat()
             live = {connection.incarnation for connection in self._connections.values()}
@@ -205,6 +215,15 @@
                     del self._outboxes[owner]
             await asyncio.sleep(runs.BEAT_S)
 
+    def _copy_config(self, now: float) -> None:
+        """Keep a copy of the configuration, for entries that the store does not serve."""
+        if not self._connections:
+            return
+        newest = max(self._connections.values(), key=lambda connection: connection.config_version)
+        oldest_version = min(connection.config_version for connection in self._connections.values())
+        if self._config_delays.is_due(self._cache.version, oldest_version, newest.config_version, now):
+            self._exchange.note_version(newest.link, newest.config_version)
+
     def _refresh_dial(self) -> None:
         self._book.confirm((*self._seeds(), *self._connections))
         known = self._book.current()
@@ -284,7 +303,7 @@
             controller.extend_grant(connection.incarnation, message.stamp + self._timing.grant_s)
             self._outboxes[connection.incarnation].acknowledge(message.acknowledged_end)
             self._book.confirm(message.entries)
-            self._exchange.note_version(connection.link, message.config_version)
+            connection.config_version = message.config_version
         elif isinstance(message, messages.Stops):
             controller.stop(message.keys, message.reason)
         elif isinstance(message, messages.CancelJob):
--- a/src/cactusgauge/fleet/agent_peer.py
+++ b/src/cactusgauge/fleet/agent_peer.py
@@ -4,7 +4,7 @@
 import collections
 from typing import TYPE_CHECKING
 
-from cactusgauge import accounting
+from cactusgauge import accounting, runs
 from cactusgauge.fleet import messages
 
 if TYPE_CHECKING:
@@ -12,6 +12,8 @@
     from cactusgauge.fleet import fleet_link
 
 GRANTS_PER_LIST = 8  # the list of entries of a large deployment is several times the rest of a grant
+MIN_GRANT_GAP_S = runs.BEAT_S / 2  # starts sent within this time have brought the stamp already
+IDLE_GRANT_GAP_S = 3 * runs.BEAT_S  # without runs a grant only keeps the link alive
 
 
 class AgentPeer:
@@ -29,6 +31,7 @@
         self.is_lost = False
         self.settle_at = now  # until when runs of an earlier process of the agent may go on
         self._stamp_received_at = now
+        self._stamp_sent_at = float("-inf")
         self._grant_count = 0
         self._told_entries: list[str] = []
         self.account = accounting.PairAccount()
@@ -48,10 +51,17 @@
             return False
         return asyncio.get_running_loop().time() - self.link.heard_at <= seconds
 
+    def refresh_grant(self, config_version: int, entries: list[str], holds_runs: bool) -> None:
+        """Send a grant if one is due; `holds_runs` tells whether the entry has runs at the agent."""
+        quiet_s = asyncio.get_running_loop().time() - self._stamp_sent_at
+        if quiet_s >= (MIN_GRANT_GAP_S if holds_runs else IDLE_GRANT_GAP_S):
+            self.grant(config_version, entries)
+
     def grant(self, config_version: int, entries: list[str]) -> None:
         """Send a grant for the runs at the agent."""
         if self.link is None:
             return
+        self._stamp_sent_at = asyncio.get_running_loop().time()
         self.granted_at = max(self.granted_at, self._stamp_received_at)
         # The list is repeated now and then, as agents forget entries that nobody mentions.
         self._grant_count += 1
@@ -74,6 +84,7 @@
             return
         starts, self._starts = self._starts, []
         if self.link is not None:
+            self._stamp_sent_at = asyncio.get_running_loop().time()
             self.granted_at = max(self.granted_at, self._stamp_received_at)
             self.link.post(messages.Starts(self.stamp, starts))
 
--- a/src/cactusgauge/fleet/config_exchange.py
+++ b/src/cactusgauge/fleet/config_exchange.py
@@ -1,6 +1,7 @@
 """Passes the newest configuration between the two ends of a link."""
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from cactusgauge.fleet import messages
@@ -9,6 +10,8 @@
     from cactusgauge.fleet import config_cache, fleet_link
 
 RETRY_S = 0.5  # after a request, until a peer that does not answer is no longer waited for
+RELAY_AFTER_S = 0.5  # entries that the store serves have a new configuration by then
+MAX_COPY_DELAY_S = 10.0  # spreads the copies of all agents, which together are far larger than a small entry's link
 
 
 class ConfigExchange:
@@ -30,3 +33,31 @@
         document = self._cache.document
         if document is not None and document.version > request.version:
             link.post(messages.ConfigDocument(document.version, document.body))
+
+
+class CopyDelays:
+    """Decides when an agent copies a configuration that it does not need itself.
+
+    At once if an entry stays behind another one, as then the agent may be the only way between them; otherwise within
+    MAX_COPY_DELAY_S, for entries that restart while the store is away.
+    """
+
+    def __init__(self) -> None:
+        self._behind_since: float | None = None
+        self._wanted_version = 0
+        self._copy_at = 0.0
+
+    def is_due(self, own_version: int, oldest_version: int, newest_version: int, now: float) -> bool:
+        """Return whether to copy now; the versions are this agent's and those of its linked entries."""
+        if newest_version <= own_version:
+            self._behind_since = None
+            return False
+        if newest_version != self._wanted_version:
+            self._wanted_version = newest_version
+            self._copy_at = now + random.uniform(0, MAX_COPY_DELAY_S)
+        if oldest_version == newest_version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        is_behind = self._behind_since is not None and now - self._behind_since >= RELAY_AFTER_S
+        return is_behind or now >= self._copy_at
--- a/src/cactusgauge/fleet/entry_fleet.py
+++ b/src/cactusgauge/fleet/entry_fleet.py
@@ -95,7 +95,6 @@
         async with listener, asyncio.TaskGroup() as group:
             group.create_task(self._beat_forever())
             group.create_task(self._tick_forever())
-            group.create_task(self._watch.run())
             for seed_number in range(MAX_SEEDS):
                 group.create_task(self._announce_forever(seed_number))
 
@@ -293,7 +292,7 @@
             start = peer.take_start(end.key)
             if view is not None and start is not None:
                 if end.kind is scheduling.EndKind.NOT_STARTED:
-                    view.note_refusal(start[0], has_room=end.reason != runs.NO_ROOM)
+                    view.note_refusal(start[0])
                 else:
                     view.note_end(*start)
             self._counters.add("runs_ended", "", end.reason or end.kind.value)
@@ -312,7 +311,8 @@
             entries = self._known_entries()
             self._scheduler.entry_count = len(entries)
             for peer in self._peers.values():
-                peer.grant(self._cache.version, entries)
+                peer.refresh_grant(self._cache.version, entries, self._scheduler.has_runs_at(peer.name))
+            self._watch.check(asyncio.get_running_loop().time())
             await asyncio.sleep(runs.BEAT_S)
 
     async def _tick_forever(self) -> None:
--- a/src/cactusgauge/fleet/link_choice.py
+++ b/src/cactusgauge/fleet/link_choice.py
@@ -7,7 +7,8 @@
 if TYPE_CHECKING:
     from collections import abc
 
-LINKS_PER_AGENT = 4  # all entries of a small deployment; 21 workers for each of 14 entries with 76 workers
+LINKS_PER_AGENT = 3  # 16 workers for each of 14 entries with 76 workers; each more costs both ends 13 messages a second
+FULL_MESH_ENTRIES = 4  # a deployment of so few is linked in full
 DIAL_PATIENCE_S = 1.5  # an entry that has not answered for so long does not count, and another one is dialled
 
 
@@ -28,11 +29,12 @@
     ) -> set[str]:
         """Return the link URLs to dial and keep; `busy` are those of entries with runs here."""
         ranked = sorted(known, key=lambda url: rendezvous.fraction(self._agent, url))
+        links = len(ranked) if len(ranked) <= FULL_MESH_ENTRIES else self._links
         self._unlinked_since = {url: self._unlinked_since.get(url, now) for url in ranked if url not in linked}
         wanted = set(busy)
         counted = 0
         for url in ranked:
-            if counted >= self._links:
+            if counted >= links:
                 break
             wanted.add(url)
             counted += now - self._unlinked_since.get(url, now) <= DIAL_PATIENCE_S
--- a/src/cactusgauge/fleet/link_watch.py
+++ b/src/cactusgauge/fleet/link_watch.py
@@ -1,6 +1,5 @@
 """Drops links that have gone silent."""
 
-import asyncio
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -8,11 +7,10 @@
     from cactusgauge.fleet import fleet_link
 
 SILENCE_S = 1.0  # more than six lost beats; a connection that went silent for good is replaced
-CHECK_S = 0.2
 
 
 class LinkWatch:
-    """Checks all links of a process, with one timer for all of them."""
+    """Holds all links of a process, which checks them with each beat."""
 
     def __init__(self, counters: "observability.Counters") -> None:
         self._counters = counters
@@ -27,13 +25,8 @@
         """Stop watching a link."""
         self._links.discard(link)
 
-    async def run(self) -> None:
-        """Check until cancelled."""
-        while True:
-            await asyncio.sleep(CHECK_S)
-            self._check(asyncio.get_running_loop().time())
-
-    def _check(self, now: float) -> None:
+    def check(self, now: float) -> None:
+        """Drop the links that were silent at the last check and still are."""
         silent = {link for link in self._links if now - link.heard_at >= SILENCE_S}
         # A process that was itself paused first reads what has arrived meanwhile, so a link falls at the second check.
         for link in silent & self._suspected:
--- a/src/cactusgauge/observability/journal.py
+++ b/src/cactusgauge/observability/journal.py
@@ -13,7 +13,7 @@
 Field = str | float | list[str]
 LINES_PER_SECOND = 25  # of each kind; 20 KB/s of a process at the worst with the usual mix of kinds
 MAX_PENDING_BYTES = 256 * 1024  # while nobody reads the output
-FLUSH_S = 0.1
+FLUSH_S = 0.2
 STDOUT = 1
 
 
--- a/src/cactusgauge/platform/http_worker_client.py
+++ b/src/cactusgauge/platform/http_worker_client.py
@@ -33,7 +33,9 @@
 def new_session() -> aiohttp.ClientSession:
     """Return a session for the calls to one worker."""
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False)
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        connector=aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False),
     )
 
 
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -64,9 +64,8 @@
     @contextlib.asynccontextmanager
     async def background(self, *work: "abc.Coroutine[None, None, None]") -> "abc.AsyncIterator[None]":
         """Run what goes on until the process ends."""
-        follower = fleet.ConfigFollower(self.store, self.cache, self.journal.record_state)
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(each) for each in (follower.run(), self.watch.run(), *work)]
+            tasks = [group.create_task(each) for each in (self.watch.run(), *work)]
             yield
             for task in tasks:
                 task.cancel()
@@ -92,7 +91,7 @@
 
 async def run_entry(path: pathlib.Path, link_listen: node_settings.Address | None) -> None:
     """Run an entry until it is told to stop; `link_listen` replaces the address that agents are told."""
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session:
         node = Node(path, session)
         own = node.own
         desk = fleet.JobDesk(node.counters, node.journal)
@@ -115,11 +114,13 @@
         side_servers = [node.listen("ready", ready, 60)]
         if own.address("control") is not None:
             side_servers.append(node.listen("control", ready, 60))
+        follower = fleet.ConfigFollower(node.store, node.cache, node.journal.record_state)
         node.journal.record_state("entry_started", incarnation=entry.incarnation, link_url=own.link_url)
         async with (
             node.accounts("entry", entry.incarnation, entry.take_accounts),
             node.background(
                 entry.run(link.host, link.port),
+                follower.run(),
                 _publish_forever(node),
                 *(each.run_until_stopped() for each in side_servers),
             ),
@@ -135,7 +136,10 @@
 
 async def run_agent(path: pathlib.Path) -> None:
     """Run an agent until it is told to stop."""
-    async with aiohttp.ClientSession() as session, http_worker_client.new_session() as worker_session:
+    async with (
+        aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session,
+        http_worker_client.new_session() as worker_session,
+    ):
         node = Node(path, session)
         own = node.own
         agent = fleet.AgentFleet(
@@ -232,7 +236,8 @@
         if check:
             click.echo(f"{path}: ok, node {node_settings.load(path).name}")
             return
-        gc.freeze()
+        gc.freeze()  # modules are never garbage, so collections need not look at them
+        gc.enable()
         with asyncio.Runner(loop_factory=event_loop.BootTimeEventLoop) as runner:
             runner.run(run_entry(path, link_listen) if role == "entry" else run_agent(path))
     except exceptions.SettingsError as error:
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -115,6 +115,10 @@
         """Return the runs that this entry believes to be at an agent's worker."""
         return list(self._running.get(agent, {}))
 
+    def has_runs_at(self, agent: ids.AgentName) -> bool:
+        """Return whether this entry believes to have runs at an agent's worker."""
+        return bool(self._running.get(agent))
+
     def expected_s(self, job: parallel_job.ParallelJob) -> float:
         """Return how long a job is expected to run on ordinary workers."""
         return self._chain_s(job)
--- a/src/cactusgauge/scheduling/worker_view.py
+++ b/src/cactusgauge/scheduling/worker_view.py
@@ -43,13 +43,10 @@
         self._unreported[number] = demand
         self._free = self._free.minus(demand)
 
-    def note_refusal(self, number: int, has_room: bool) -> None:
-        """Free what a refused start had reserved; without room nothing is free until the next report."""
-        demand = self._unreported.pop(number, None)
-        if not has_room:
-            self._free = resources.Resources()
-        elif demand is not None:
-            self._free = self._free.plus(demand)
+    def note_refusal(self, number: int) -> None:
+        """Note that an agent refused a start: the view is wrong, so nothing is free until the next report."""
+        self._unreported.pop(number, None)
+        self._free = resources.Resources()
 
     def note_end(self, number: int, demand: resources.Resources) -> None:
         """Free what a run used; the next report, which is coalesced with others, includes it."""
--- /dev/null
+++ b/tests/unit/fleet/test_link_watch.py
@@ -0,0 +1,42 @@
+from typing import cast
+
+from cactusgauge import observability
+from cactusgauge.fleet import fleet_link, link_watch
+
+
+class _Link:
+    def __init__(self) -> None:
+        self.heard_at = 0.0
+        self.is_aborted = False
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+def _watch(*links: _Link) -> link_watch.LinkWatch:
+    watch = link_watch.LinkWatch(observability.Counters())
+    for link in links:
+        watch.add(cast("fleet_link.FleetLink", link))
+    return watch
+
+
+def test_silent_link_is_dropped_and_others_are_kept() -> None:
+    """Guards against links that went silent without a reset, and against one that drops its neighbours."""
+    silent, heard = _Link(), _Link()
+    watch = _watch(silent, heard)
+    for beat in range(1, 10):
+        heard.heard_at = beat * 0.15
+        watch.check(beat * 0.15)
+    assert silent.is_aborted
+    assert not heard.is_aborted
+
+
+def test_link_of_a_paused_process_gets_time_to_be_read() -> None:
+    """Guards against links dropped after a pause of this process, though their messages have arrived."""
+    link = _Link()
+    watch = _watch(link)
+    watch.check(0.15)
+    watch.check(3.0)  # the process was paused since the last check
+    link.heard_at = 3.01
+    watch.check(3.15)
+    assert not link.is_aborted
