Follow a worker that restarts under its id without losing sight of its runs

The agent told all runs as lost when it noticed the new life, also those that had just started in it, and their entry started them elsewhere. The same orders had carried the agent's token into the new life; the agent then began with a lower one and was fenced hundreds of times. A late reply of an earlier worker could also end the runs of its successor.

Change: under the same id, runs stay in the ledger until a listing of the new life shows that they are gone; the token never falls while the id is the same, and doubles when it is refused; a reply about a wrong worker counts only for the client that is in use. After a restart under another id, all runs are lost at once, as before.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -15,6 +15,7 @@
 START_ATTEMPTS = 3  # the order is idempotent, and a reply that is late by several times the usual delay seldom comes
 RETRY_PAUSE_S = 0.02
 MISSED_HEARTBEATS = 3
+MAX_TOKEN = 2**53  # the largest whole numbers that all JSON readers keep exact
 UNREPLIED = "no_reply"
 
 
@@ -59,6 +60,7 @@
         self._announced_at = now
         self._client: worker_client.WorkerClient | None = None
         self._lease: worker_lease.WorkerLease | None = None
+        self._life = 0  # of the worker that orders go to, known from its heartbeats or its listings
         self._token = 0
         self._generation = 0
         self._is_recovered = False
@@ -81,6 +83,8 @@
         """Whether the worker takes new runs."""
         if self._announced is None or not self._is_recovered or self._is_down:
             return scheduling.WorkerPhase.ABSENT
+        if self._announced.life != self._life:
+            return scheduling.WorkerPhase.ABSENT  # its new life has not said yet what it offers
         age_s = asyncio.get_running_loop().time() - self._announced_at
         if age_s > MISSED_HEARTBEATS * self._heartbeat_s:
             return scheduling.WorkerPhase.ABSENT
@@ -128,15 +132,15 @@
     def announce(self, announced: announcement_module.Announcement) -> bool:
         """Take in a heartbeat of the worker; return whether it is newer than what is known."""
         known = self._announced
-        if known is not None and known.life == announced.life and known.worker == announced.worker:
-            if announced.sequence <= known.sequence:
-                return False
-        elif known is not None and announced.life < known.life:
+        if known is not None and announced.life < self._life:
+            return False
+        is_same_worker = known is not None and known.worker == announced.worker
+        if known is None or not is_same_worker or announced.life > self._life:
+            self._begin_life(announced.worker, announced.life, announced.clock_s, is_same_worker)
+        elif announced.life == known.life and announced.sequence <= known.sequence:
             return False
-        else:
-            self._begin_life(announced)
         was = self.phase
-        if known is not None and known.address != announced.address and self._client is not None:
+        if known is None or not is_same_worker or known.address != announced.address or self._client is None:
             self._client = self._connect(announced)
         self._announced = announced
         self._announced_at = asyncio.get_running_loop().time()
@@ -211,16 +215,24 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _begin_life(self, announced: announcement_module.Announcement) -> None:
-        self._lose_all("worker_restarted")
+    def _begin_life(self, worker: ids.WorkerId, life: int, clock_s: float, is_same_worker: bool) -> None:
+        """Order from a new life of the worker.
+
+        Orders name the worker's id. So runs of another id are gone, while orders under the same id may have reached the
+        new life: their runs stay until a listing shows that they are gone.
+        """
+        if not is_same_worker:
+            self._lose_all("worker_restarted")
         self._generation += 1
-        self._client = self._connect(announced)
-        self._lease = worker_lease.WorkerLease(announced.clock_s, self._timing.lease_s)
-        self._token = max(1, int(announced.clock_s * 1000))
+        self._life = life
+        over_after_s = self._timing.max_lease_s if is_same_worker else 0.0
+        self._lease = worker_lease.WorkerLease(clock_s, self._timing.lease_s, over_after_s)
+        # The new life may have seen the token of such orders.
+        self._token = max(self._token + 1 if is_same_worker else 1, int(clock_s * 1000))
         self._is_recovered = False
         self._processed_end = self._acknowledged_end = 0
         self._ledger.reset_speed(asyncio.get_running_loop().time())
-        self._observer.note("worker_announced", worker=announced.worker, life=announced.life, token=self._token)
+        self._observer.note("worker_announced", worker=worker, life=life, token=self._token, same_id=is_same_worker)
         self._wake.set()
 
     async def _start(self, run: run_ledger.Run, new: run_ledger.NewRun) -> None:
@@ -243,7 +255,7 @@
             except worker_client.WorkerCallError:
                 continue
             except worker_client.WrongWorkerError:
-                self._end_life()
+                self._end_life(client)
                 return
             if reply.clock_s is not None:
                 lease.note_clock(reply.clock_s)
@@ -292,7 +304,7 @@
                 except worker_client.FencedError as error:
                     self._raise_token(error.clock_s)
                 except worker_client.WrongWorkerError:
-                    self._end_life()
+                    self._end_life(client)
                     return
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -325,7 +337,7 @@
             self._raise_token(error.clock_s)
             return
         except worker_client.WrongWorkerError:
-            self._end_life()
+            self._end_life(client)
             return
         except worker_client.WorkerCallError as error:
             if isinstance(error, worker_client.WorkerDownError):
@@ -336,14 +348,21 @@
             return
         if self._client is not client:
             return
-        announced_life = self._announced.life if self._announced is not None else 0
-        if listing.life and announced_life and listing.life != announced_life:
-            self._end_life()
+        if listing.life and self._life and listing.life != self._life:
+            self._notice_life(listing)
             return
         lease.note_clock(listing.clock_s)
         self._acknowledged_end = max(self._acknowledged_end, acknowledged)
         self._take_listing(listing, number)
 
+    def _notice_life(self, listing: worker_client.WorkerListing) -> None:
+        """Take in a listing of another life under the same id; its heartbeat says later what it offers."""
+        if listing.life < self._life or self._announced is None:
+            return  # a late reply of the former life
+        self._begin_life(self._announced.worker, listing.life, listing.clock_s, is_same_worker=True)
+        self._note_phase("listing_of_new_life")
+        self._observer.report_changed()
+
     def _take_listing(self, listing: worker_client.WorkerListing, number: int) -> None:
         for end in listing.ends:
             if end.number <= self._processed_end:
@@ -408,9 +427,9 @@
             ran_s = now - run.started_at
         self._observer.end_run(run.owner, scheduling.RunEnd(run.key, kind, ran_s, reason))
 
-    def _end_life(self) -> None:
-        """Note that the worker that was known is gone; its successor announces itself."""
-        if self._client is None:
+    def _end_life(self, client: worker_client.WorkerClient) -> None:
+        """Note that the worker of a client is gone; its successor announces itself, or has done so."""
+        if self._client is not client:
             return
         self._client = None
         self._is_down = True
@@ -436,5 +455,6 @@
         self._observer.note("worker_phase", phase=self.phase.value, cause=cause)
 
     def _raise_token(self, clock_s: float | None) -> None:
-        self._token = max(self._token + 1, int((clock_s or 0.0) * 1000))
+        # The reply does not tell the highest token, which may be that of an earlier life's clock.
+        self._token = min(max(self._token * 2, int((clock_s or 0.0) * 1000)), MAX_TOKEN)
         self._observer.note("fencing_token_raised", token=self._token)
--- a/src/cactusgauge/runs/timing.py
+++ b/src/cactusgauge/runs/timing.py
@@ -21,6 +21,7 @@
     grant_s: float
     lease_s: float
     stop_s: float
+    max_lease_s: float  # to which a worker shortens longer leases
 
     @property
     def gone_after_s(self) -> float:
@@ -33,4 +34,4 @@
     budget_s = resend_after_s - stop_s - 2 * MARGIN_S
     grant_s = GRANT_SHARE * budget_s
     lease_s = min((budget_s - grant_s) / (1 + CLOCK_DRIFT), max_lease_s)
-    return RunTiming(grant_s, lease_s, stop_s)
+    return RunTiming(grant_s, lease_s, stop_s, max_lease_s)
--- a/src/cactusgauge/runs/worker_lease.py
+++ b/src/cactusgauge/runs/worker_lease.py
@@ -8,11 +8,12 @@
 class WorkerLease:
     """Translates between the loop's clock and the worker's, and knows when a lease has surely ended."""
 
-    def __init__(self, clock_s: float, lease_s: float) -> None:
+    def __init__(self, clock_s: float, lease_s: float, over_after_s: float = 0.0) -> None:
+        """`over_after_s` bounds the leases of orders that may have reached the worker before."""
         self._lease_s = lease_s
         self._clock_s = clock_s
         self._heard_at = asyncio.get_running_loop().time()
-        self._ended_at = self._heard_at
+        self._ended_at = self._heard_at + over_after_s * (1 + timing.CLOCK_DRIFT)
 
     @property
     def is_over(self) -> bool:
--- a/src/emulator/leased_worker.py
+++ b/src/emulator/leased_worker.py
@@ -81,6 +81,18 @@
         self._runs.clear()
         self.is_down = True
 
+    def restart(self) -> None:
+        """Begin a new life under the same id, which knows nothing of before."""
+        self.crash()
+        self.is_down = False
+        self._life += 1
+        self._started_at = asyncio.get_running_loop().time()
+        self._token = 0
+        self._lease_until_s = 0.0
+        self._highest.clear()
+        self._ends.clear()
+        self._end_count = 0
+
     async def start(self, order: runs.StartOrder) -> runs.StartReply:
         """Start a run."""
         await self._receive(lambda: self._start(order))
