Dispatch once for all messages that arrived, and rank only jobs that fit

Cause: under overload every report and every end of a run led to a dispatch that ranked all waiting jobs and tried six of them.

Change: messages request a dispatch, and one dispatch per loop iteration serves all of them; jobs whose smallest task fits on no worker are not ranked; jobs dropped in one tick share one estimate of the backlog; the backlog of a job with one step is computed from its count.

Tests: two replays that count rankings fail on the old code; one checks that requests are combined.

--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -66,6 +66,7 @@
         self._known_entries = known_entries.KnownEntries()
         self._exchange = config_exchange.ConfigExchange(cache)
         self._flush_scheduled = False
+        self._dispatch_scheduled = False
         self._closed_accounts: collections.deque[accounting.PairTotals] = collections.deque(maxlen=MAX_CLOSED_ACCOUNTS)
         health = health_module.WorkerHealth(ids.WorkspaceName(""), counters, journal, lambda: len(self._peers))
         self._scheduler = build_scheduler(self, self._fleet, health)
@@ -131,6 +132,12 @@
         """Answer the callers of a job."""
         self._on_job_ended(job, result, reason, retry_after_s)
 
+    def request_dispatch(self) -> None:
+        """Dispatch waiting tasks once all messages that have arrived are processed."""
+        if not self._dispatch_scheduled:
+            self._dispatch_scheduled = True
+            asyncio.get_running_loop().call_soon(self._dispatch)
+
     def log_event(self, event: str, **fields: str | float) -> None:
         """Log a decision."""
         self._journal.log_event(event, **fields)
@@ -149,6 +156,10 @@
         service = view.report.service if view is not None and view.report is not None else ""
         return peer.account.totals(peer.incarnation, peer.name, ids.WorkspaceName(service))
 
+    def _dispatch(self) -> None:
+        self._dispatch_scheduled = False
+        self._scheduler.dispatch(asyncio.get_running_loop().time())
+
     def _flush(self) -> None:
         self._flush_scheduled = False
         for peer in self._peers.values():
--- a/src/cactusgauge/scheduling/parallel_job.py
+++ b/src/cactusgauge/scheduling/parallel_job.py
@@ -108,6 +108,7 @@
         self._history: collections.deque[str] = collections.deque(maxlen=MAX_HISTORY_LENGTH)
         self._possible_starts = 0  # starts sent, minus those known not to have taken place
         self.waiting_count = 0  # tasks that wait for a worker; updated by the setter of `phase`
+        self.min_cpu_millicores = min((each.demand.cpu_millicores for each in steps), default=0)
         self.tasks = [
             [ParallelTask(self, number, index, task_key(key, number, index)) for index in range(each.task_count)]
             for number, each in enumerate(steps)
@@ -119,6 +120,11 @@
         """Number of tasks that are not done."""
         return self._open_count
 
+    @property
+    def has_unstarted_tasks(self) -> bool:
+        """Whether any task waits for a worker, or may be blocked by an earlier step."""
+        return self.waiting_count > 0 or len(self.steps) > 1
+
     @property
     def has_started(self) -> bool:
         """Whether any task may have started, i.e. a start was sent that is not known to have been refused."""
--- a/src/cactusgauge/scheduling/run_placement.py
+++ b/src/cactusgauge/scheduling/run_placement.py
@@ -69,11 +69,10 @@
         now: float,
     ) -> "worker_view.WorkerView | None":
         """Return one of the workers on which the task is expected to finish first, or None if it should wait."""
-        durations = [(self.duration_s(task, expected_s, view), view) for view in candidates]
-        fitting = [row for row in durations if task.demand.fits(row[1].free)]
+        demand = task.demand
+        fitting = [(self.duration_s(task, expected_s, view), view) for view in candidates if demand.fits(view.free)]
         if not fitting:
             return None
-        fastest_s = min(duration_s for duration_s, _ in durations)
         best_s = min(duration_s for duration_s, _ in fitting)
         similar = [view for duration_s, view in fitting if duration_s <= best_s * SIMILAR_DURATION_FACTOR]
         # A random sample avoids that all entries choose the same least loaded worker and compete for it.
@@ -81,9 +80,10 @@
         best = max(drawn, key=lambda view: view.free.cpu_millicores)
         job = task.job
         objective_left_s = job.objective_at - now
-        if best_s <= objective_left_s or fastest_s > objective_left_s:
+        if best_s <= objective_left_s:
             return best
-        return None
+        fastest_s = min(self.duration_s(task, expected_s, view) for view in candidates)
+        return best if fastest_s > objective_left_s else None
 
     def duration_s(self, task: "parallel_job.ParallelTask", expected_s: float, view: "worker_view.WorkerView") -> float:
         """Return the expected duration of a task on a worker."""
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -65,6 +65,10 @@
     def finish(self, job: parallel_job.ParallelJob, result: JobResult, reason: str, retry_after_s: int) -> None:
         """Send the result of a job to its callers; `retry_after_s` is 0 unless they should retry after a delay."""
 
+    @abc.abstractmethod
+    def request_dispatch(self) -> None:
+        """Call `RunScheduler.dispatch` soon; one call serves all requests since the last one."""
+
     @abc.abstractmethod
     def log_event(self, event: str, **fields: str | float) -> None:
         """Log an event with its fields."""
@@ -139,7 +143,7 @@
         if refusal is not None:
             return refusal
         self._jobs[job.key] = job
-        self.dispatch(now)
+        self._output.request_dispatch()
         return None
 
     def cancel(self, key: ids.JobKey, result: JobResult, reason: str) -> bool:
@@ -158,7 +162,7 @@
         view.update(report, handled_start, now)
         if previous is None or previous.slowness != report.slowness or previous.phase is not report.phase:
             self._fleet.update_median_slowness()
-        self.dispatch(now)
+        self._output.request_dispatch()
 
     def cancel_all(self, reason: str) -> None:
         """End all jobs because the entry is stopping."""
@@ -170,13 +174,14 @@
         if self._stopping_runs.get(end.key.task) == end.key:
             del self._stopping_runs[end.key.task]
         task = self._running.get(agent, {}).pop(end.key, None)
-        if task is None:
-            self.dispatch(now)
-            return
+        if task is not None and self._jobs.get(task.job.key) is task.job:
+            self._apply_end(agent, task, end, now)
+        self._output.request_dispatch()
+
+    def _apply_end(
+        self, agent: ids.AgentName, task: parallel_job.ParallelTask, end: run_end.RunEnd, now: float
+    ) -> None:
         job = task.job
-        if self._jobs.get(job.key) is not job:
-            self.dispatch(now)
-            return
         job.record_decision(now, f"{end.kind.value} {task.key.step}/{task.key.position} {end.reason}".rstrip())
         if end.kind is run_end.EndKind.DONE:
             self._complete(agent, task, end, now)
@@ -184,7 +189,6 @@
             self._fail(agent, task, end)
         else:
             self._requeue(agent, task, end, now)
-        self.dispatch(now)
 
     def handle_agent_loss(self, agent: ids.AgentName, reason: str, now: float) -> None:
         """Treat all runs on an agent as lost."""
@@ -216,7 +220,7 @@
         if self._was_suspended(now) or now < self._resume_at:
             return
         blocked = 0
-        for job, _ in self._waiting_jobs_by_rank(now):
+        for job in self._placeable_jobs_by_rank(now):
             if now < job.deadline and not self._dispatch_job(job, now):
                 blocked += 1
                 if blocked >= MAX_BLOCKED_JOBS:
@@ -335,23 +339,41 @@
 
     def _drop_late_jobs(self, now: float) -> None:
         """Drop the late jobs that have not started and that the policy does not keep."""
+        wait_s: float | None = None  # the backlog is the same for all jobs that are dropped in one tick
         for job in list(self._jobs.values()):
+            if job.has_started:
+                continue
             remaining_s = self._expected_job_s(job)
-            if job.has_started or now + remaining_s <= job.objective_at:
+            if now + remaining_s <= job.objective_at:
                 continue
             available_share = (
                 self._fleet.available_share(job.policy.service, now) if now >= self._grace_ends_at else 0.0
             )
             if self._late_jobs.should_drop(job, remaining_s, available_share, now):
-                wait_s = self._load(job, now).wait_s
+                if wait_s is None:
+                    wait_s = self._load(job, now).wait_s
                 retry_after_s = admission_policy.retry_after_s(wait_s, job.policy.priority)
                 self._finish(job, JobResult.NOT_RUN, "objective_lost", retry_after_s)
 
-    def _waiting_jobs_by_rank(self, now: float) -> list[tuple[parallel_job.ParallelJob, float]]:
-        """Return the jobs with waiting tasks and their expected durations in seconds, most urgent first."""
-        waiting = [(job, self._expected_job_s(job)) for job in self._jobs.values() if job.waiting_count]
-        waiting.sort(key=lambda row: self._order.rank(row[0], row[1], now))
-        return waiting
+    def _placeable_jobs_by_rank(self, now: float) -> list[parallel_job.ParallelJob]:
+        """Return the jobs with waiting tasks that fit on some worker, most urgent first.
+
+        Under overload hardly any waiting job fits anywhere, and every report and end of a run leads here. Ranking all
+        waiting jobs would take a small entry more time than it has.
+        """
+        most_free: dict[ids.ServiceName, int] = {}
+        placeable = []
+        for job in self._jobs.values():
+            if not job.waiting_count:
+                continue
+            service = job.policy.service
+            if service not in most_free:
+                free = (view.free.cpu_millicores for view in self._fleet.available_workers(service))
+                most_free[service] = max(free, default=-1)
+            if job.min_cpu_millicores <= most_free[service]:
+                placeable.append(job)
+        placeable.sort(key=lambda job: self._order.rank(job, self._expected_job_s(job), now))
+        return placeable
 
     def _check_admission(self, job: parallel_job.ParallelJob, now: float) -> admission_policy.Refusal | None:
         job.set_objective(self._critical_path_s(job))
@@ -380,7 +402,7 @@
         ahead_core_s = 0.0
         oldest_wait_s = 0.0
         for other in self._jobs.values():
-            if other is job or other.policy.service != job.policy.service:
+            if other is job or other.policy.service != job.policy.service or not other.has_unstarted_tasks:
                 continue
             if self._order.rank(other, self._expected_job_s(other), now) <= own_rank:
                 ahead_core_s += self._waiting_core_s(other)
@@ -411,6 +433,8 @@
 
     def _waiting_core_s(self, job: parallel_job.ParallelJob) -> float:
         """Return the expected core-seconds of the tasks that are not running or done."""
+        if len(job.steps) == 1:
+            return job.waiting_count * self._core_s(job.tasks[0][0])
         return sum(self._core_s(task) for task in job.all_tasks if task.phase in _UNSTARTED_PHASES)
 
     def _core_s(self, task: parallel_job.ParallelTask) -> float:
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from cactusgauge import fleet, ids, scheduling
 from tests.unit.fleet import conftest
 
@@ -170,3 +172,17 @@
     async with conftest.running(entry, agent):
         answer = await entry.submit("j")
     assert answer is not None and answer.result is SUCCEEDED
+
+
+async def test_messages_that_arrived_together_lead_to_one_dispatch(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an entry that dispatches once for each of many reports and falls behind."""
+    entry = conftest.Entry("e", [])
+    times: list[float] = []
+    monkeypatch.setattr(entry.link_server.scheduler, "dispatch", times.append)
+    for _ in range(15):
+        entry.link_server.request_dispatch()
+    await asyncio.sleep(0)
+    assert len(times) == 1
+    entry.link_server.request_dispatch()
+    await asyncio.sleep(0)
+    assert len(times) == 2
--- a/tests/unit/scheduling/conftest.py
+++ b/tests/unit/scheduling/conftest.py
@@ -62,6 +62,10 @@
         """Record the result of a job."""
         self.finished.append((job.key, result, reason, retry_after_s))
 
+    def request_dispatch(self) -> None:
+        """Dispatch at once."""
+        self.scheduler.dispatch(self.now)
+
     def log_event(self, event: str, **fields: str | float) -> None:
         """Record a log event."""
         self.events.append((event, fields))
--- a/tests/unit/scheduling/test_load_patterns.py
+++ b/tests/unit/scheduling/test_load_patterns.py
@@ -186,3 +186,48 @@
         replay.run(_burst())
         shares.append(statistics.mean(_share_by_kind(replay)))
     assert shares[1] >= shares[0] - 0.01
+
+
+class _CountingOrder(scheduling.UrgencyOrder):
+    """Counts how often jobs are ranked."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def rank(self, job: scheduling.ParallelJob, expected_s: float, now: float) -> tuple[float, ...]:
+        """Rank the job and count the call."""
+        self.count += 1
+        return super().rank(job, expected_s, now)
+
+
+async def test_reports_of_full_workers_cost_no_ranking_of_the_backlog() -> None:
+    """Guards against an entry that falls behind under overload, as each report and end ranks all waiting jobs.
+
+    Late messages make reports older and let grants end, which requeues tasks and adds messages.
+    """
+    order = _CountingOrder()
+    harness = conftest.SchedulerHarness(order=order)
+    for number in range(WORKERS):
+        harness.worker(str(number), CORES, free=0)
+    for number in range(60):
+        harness.submit(harness.job(f"j{number}", tasks=8, cores=6))
+    order.count = 0
+    for number in range(WORKERS):
+        harness.worker(str(number), CORES, free=0)
+    assert order.count == 0
+    harness.worker("0", CORES, free=6)
+    assert 0 < order.count <= 2 * 60
+    assert len(harness.started) == 1
+
+
+async def test_dropped_jobs_share_one_estimate_of_the_backlog() -> None:
+    """Guards against a tick whose cost grows with the square of the jobs that a burst leaves without a worker."""
+    order = _CountingOrder()
+    harness = conftest.SchedulerHarness(order=order)
+    harness.worker("0", CORES, free=0)
+    for number in range(60):
+        harness.submit(harness.job(f"j{number}", tasks=8, cores=6))
+    order.count = 0
+    harness.advance(0.3)
+    assert len(harness.finished) == 60
+    assert order.count <= 2 * 60
