--- a/src/cactusgauge/fleet/__init__.py
+++ b/src/cactusgauge/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Links between entries and agents, callers' jobs and the configuration, for runs under leases and grants."""
 
-from cactusgauge.fleet.agent_link_client import AgentLinkClient
+from cactusgauge.fleet.agent_link_client import REPORT_INTERVAL_S, AgentLinkClient
 from cactusgauge.fleet.config_cache import ConfigCache, Document
 from cactusgauge.fleet.config_follower import ConfigFollower
 from cactusgauge.fleet.entry_link_server import EntryLinkServer, wall_clock_run_number
@@ -17,6 +17,7 @@
 )
 
 __all__ = [
+    "REPORT_INTERVAL_S",
     "ENTRY_STOPPING",
     "QUEUE_SLACK_SHARE",
     "AgentLinkClient",
--- a/src/cactusgauge/platform/http_worker_client.py
+++ b/src/cactusgauge/platform/http_worker_client.py
@@ -10,7 +10,7 @@
 from cactusgauge.platform import job_body
 
 CALL_TIMEOUT_S = 0.15  # of starts and stops: many times the usual response time; after it, a start is retried
-POLL_TIMEOUT_MARGIN_S = 0.25  # added to the time that the worker was asked to wait
+POLL_TIMEOUT_MARGIN_S = 0.1  # added to the time that the worker was asked to wait; ends go unnoticed meanwhile
 MAX_CONNECTIONS = 12  # opening one is expensive, so few are used and they stay open
 KEEP_ALIVE_TIMEOUT_S = 3600.0
 MS_PER_S = 1000
--- a/tests/unit/platform/test_worker_http.py
+++ b/tests/unit/platform/test_worker_http.py
@@ -28,17 +28,20 @@
 
 
 class _Worker:
-    """Returns `reply` for every call and records the requests."""
+    """Returns `reply` for every call, after a second if it is silent, and records the requests."""
 
     def __init__(self) -> None:
         self.reply: tuple[int, dict[str, Any]] = (200, {"clock_ms": 1500})
         self.calls: list[tuple[str, dict[str, Any], str]] = []
+        self.is_silent = False
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Handle one request."""
         body = await asgi.read_body(receive, 100_000)
         assert body is not None
         self.calls.append((scope["path"], json.loads(body), asgi.header(scope, b"expect-instance")))
+        if self.is_silent:
+            await asyncio.sleep(1.0)
         await asgi.respond(send, *self.reply)
 
 
@@ -199,3 +202,18 @@
         assert (await client.poll(1, 0, None, 0.0)).running == []
 
     await _run_with_worker(check)
+
+
+async def test_lost_reply_to_a_poll_delays_ends_only_briefly() -> None:
+    """Guards against short tasks that end late for their caller because the reply with their end was lost."""
+    loop = asyncio.get_running_loop()
+
+    async def check(worker: _Worker, client: runs.WorkerClient) -> None:
+        await client.poll(1, 0, None, 0.0)
+        worker.is_silent = True
+        sent_at = loop.time()
+        with pytest.raises(runs.WorkerCallError):
+            await client.poll(1, 0, None, 0.15)
+        assert loop.time() - sent_at < 0.15 + 0.2
+
+    await _run_with_worker(check)
