Report a worker more often only while its room is scarce

Change: the agent reports every 60 ms while a quarter or less of its worker's CPU is free, else every 150 ms.

--- a/src/cactusgauge/fleet/__init__.py
+++ b/src/cactusgauge/fleet/__init__.py
@@ -1,11 +1,12 @@
 """Links between entries and agents, callers' jobs and the configuration, for runs under leases and grants."""
 
-from cactusgauge.fleet.agent_link_client import REPORT_INTERVAL_S, AgentLinkClient
+from cactusgauge.fleet.agent_link_client import AgentLinkClient
 from cactusgauge.fleet.config_cache import ConfigCache, Document
 from cactusgauge.fleet.config_follower import ConfigFollower
 from cactusgauge.fleet.entry_link_server import EntryLinkServer, wall_clock_run_number
 from cactusgauge.fleet.parallel_job_service import ENTRY_STOPPING, JobAnswer, NewJob, ParallelJobService
 from cactusgauge.fleet.policies import QUEUE_SLACK_SHARE, scheduler_builder
+from cactusgauge.fleet.report_schedule import report_interval_s
 from cactusgauge.fleet.route_table import HttpLimits, Route, RouteTable
 from cactusgauge.fleet.stores import (
     ConfigBatch,
@@ -17,7 +18,6 @@
 )
 
 __all__ = [
-    "REPORT_INTERVAL_S",
     "ENTRY_STOPPING",
     "QUEUE_SLACK_SHARE",
     "AgentLinkClient",
@@ -37,6 +37,7 @@
     "Route",
     "RouteTable",
     "StoreUnavailableError",
+    "report_interval_s",
     "scheduler_builder",
     "wall_clock_run_number",
 ]
--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -14,6 +14,7 @@
     link_monitor,
     link_selector,
     messages,
+    report_schedule,
     stores,
 )
 
@@ -27,7 +28,6 @@
 DIAL_TIMEOUT_S = 1.0
 MIN_DIAL_PAUSE_S = 0.1
 MAX_DIAL_PAUSE_S = 0.3
-REPORT_INTERVAL_S = 0.06  # between reports under load; ends are sent to their owners at once
 REPORT_BATCH_DELAY_S = 0.005  # combines starts and ends that follow closely into one report
 INTERVALS_PER_AGENT_BEAT = 4  # heartbeat intervals per `AgentBeat`; reports keep the link alive in between
 DIRECTORY_POLL_S = 10.0  # while linked, as linked entries report the others as well
@@ -144,9 +144,9 @@
         self.on_report_changed()
 
     def on_report_changed(self) -> None:
-        """Schedule a report to all entries, at most one per REPORT_INTERVAL_S."""
+        """Schedule a report to all entries."""
         now = asyncio.get_running_loop().time()
-        self._schedule_report(max(now + REPORT_BATCH_DELAY_S, self._reported_at + REPORT_INTERVAL_S))
+        self._schedule_report(max(now + REPORT_BATCH_DELAY_S, self._next_report_at()))
 
     def log_event(self, event: str, **fields: str | float) -> None:
         """Log a decision."""
@@ -163,13 +163,19 @@
             if ends:
                 connection.link.post(messages.Ends(ends))
         now = asyncio.get_running_loop().time()
-        if now >= self._reported_at + REPORT_INTERVAL_S:
+        if now >= self._next_report_at():
             self._send_reports()  # in one frame with the ends
         else:
             # These entries have an outdated view of the worker, so they get a report at once.
             self._post_report([each for each in self._connections.values() if each.incarnation in self._refused_owners])
         self._refused_owners.clear()
 
+    def _next_report_at(self) -> float:
+        """Return the earliest time of the next report; ends are sent to their owners at once."""
+        if self._controller is None:
+            return self._reported_at
+        return self._reported_at + report_schedule.report_interval_s(self._controller.report())
+
     def _schedule_report(self, at: float) -> None:
         if self._report_timer is not None:
             if self._report_timer.when() <= at:
--- a/tests/unit/scheduling/shared_fleet.py
+++ b/tests/unit/scheduling/shared_fleet.py
@@ -157,10 +157,11 @@
     def _schedule_report(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
-            self._model.at(max(self._model.now, self._reported_at + self._model.report_interval_s), self.report)
+            due_at = self._reported_at + self._model.report_interval_s(self._state())
+            self._model.at(max(self._model.now, due_at), self.report)
 
-    def _report(self, entries: "abc.Iterable[_Entry]") -> None:
-        report = scheduling.WorkerReport(
+    def _state(self) -> scheduling.WorkerReport:
+        return scheduling.WorkerReport(
             SERVICE,
             ids.WorkerId(self.name),
             1,
@@ -170,6 +171,9 @@
             (),
             self.registry.slowness(self._model.now),
         )
+
+    def _report(self, entries: "abc.Iterable[_Entry]") -> None:
+        report = self._state()
         for entry in entries:
             handled_start = self._handled[entry.owner]
             self._model.post(
@@ -183,7 +187,13 @@
     `misses` counts the starts that found no room. Messages arrive in the order in which they were sent.
     """
 
-    def __init__(self, entry_count: int, worker_count: int, report_interval_s: float, seed: int) -> None:
+    def __init__(
+        self,
+        entry_count: int,
+        worker_count: int,
+        report_interval_s: "abc.Callable[[scheduling.WorkerReport], float]",
+        seed: int,
+    ) -> None:
         self._rng = random.Random(seed)
         self._queue: list[tuple[float, int, abc.Callable[[], object]]] = []
         self._sequence = itertools.count()
--- a/tests/unit/scheduling/test_shared_fleet.py
+++ b/tests/unit/scheduling/test_shared_fleet.py
@@ -1,9 +1,16 @@
 """Replays loads of several entries on shared workers."""
 
+from typing import TYPE_CHECKING
+
 from cactusgauge import fleet, runs
 from tests.unit.scheduling import shared_fleet
 
-SEEDS = range(4)
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import scheduling
+
+SEEDS = range(12)
 SECONDS = 6.0
 
 
@@ -16,10 +23,12 @@
     ]
 
 
-def _share_in_time(load: float, report_interval_s: float) -> float:
+def _share_in_time(
+    load: float, report_interval_s: "abc.Callable[[scheduling.WorkerReport], float]", seeds: range = SEEDS
+) -> float:
     """Return the fraction of jobs that end within their objective, over all seeds."""
     jobs = in_time = 0
-    for seed in SEEDS:
+    for seed in seeds:
         model = shared_fleet.SharedFleet(3, 11, report_interval_s, seed)
         model.run(_kinds(load), SECONDS)
         jobs += model.jobs
@@ -33,5 +42,5 @@
     A worker is refilled within tens of milliseconds near full load, so a report per heartbeat is mostly outdated.
     """
     for load in (1.0, 1.5):
-        baseline = _share_in_time(load, runs.HEARTBEAT_INTERVAL_S)
-        assert _share_in_time(load, fleet.REPORT_INTERVAL_S) > baseline
+        baseline = _share_in_time(load, lambda report: runs.HEARTBEAT_INTERVAL_S)
+        assert _share_in_time(load, fleet.report_interval_s) > baseline
