--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -339,7 +339,7 @@
 
     def _drop_late_jobs(self, now: float) -> None:
         """Drop the late jobs that have not started and that the policy does not keep."""
-        wait_s: float | None = None  # the backlog is the same for all jobs that are dropped in one tick
+        wait_s: dict[ids.ServiceName, float] = {}  # the jobs dropped in one tick share the estimate of the backlog
         for job in list(self._jobs.values()):
             if job.has_started:
                 continue
@@ -350,9 +350,10 @@
                 self._fleet.available_share(job.policy.service, now) if now >= self._grace_ends_at else 0.0
             )
             if self._late_jobs.should_drop(job, remaining_s, available_share, now):
-                if wait_s is None:
-                    wait_s = self._load(job, now).wait_s
-                retry_after_s = admission_policy.retry_after_s(wait_s, job.policy.priority)
+                service = job.policy.service
+                if service not in wait_s:
+                    wait_s[service] = self._load(job, now).wait_s
+                retry_after_s = admission_policy.retry_after_s(wait_s[service], job.policy.priority)
                 self._finish(job, JobResult.NOT_RUN, "objective_lost", retry_after_s)
 
     def _placeable_jobs_by_rank(self, now: float) -> list[parallel_job.ParallelJob]:
--- a/src/cactusgauge/wire/dial_tasks.py
+++ b/src/cactusgauge/wire/dial_tasks.py
@@ -16,9 +16,8 @@
 class DialTasks:
     """Runs one task per URL, which reconnects after a random delay whenever its link ends.
 
-    `dial_once` opens a link and serves it until it ends; an error from it ends only that link. Leaving the context
-    cancels all tasks. Unexpected errors are
-    logged as `link_failed`.
+    `dial_once` opens a link and serves it until it ends; an error from it ends only that link, and an unexpected one is
+    logged as `link_failed`. Leaving the context cancels all tasks.
     """
 
     def __init__(
