Give a task up after two workers have crashed under it

Cause: a run that is lost with its worker is started again like any other, without a limit, and all runs of the crashed worker start again at once on the other, full workers. Class of fault: a retry without a budget, whose cause is taken to be the worker and never the task.

Change: an agent tells all entries which tasks were on its worker when it crashed, and which had just started there; entries and agents pass that on, and repeat it on new links, since callers send the jobs of a lost entry to any other one. A crash is attributed to the tasks that had just started, or to the suspects among them. A suspect starts again only on a trial worker, a tenth of the workers and the same for all entries, one at a time; with a second crash its job ends as failed, at every entry and also when it is sent again. A worker that drains, and one that is only silent, has not crashed. Version 4 of the protocol, as there is a new message.

Capacity that shrinks was found to be guarded already; a test is added.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -8,6 +8,7 @@
 from cactusgauge import accounting, background, exceptions, ids, runs, scheduling, wire
 from cactusgauge.fleet import (
     config_exchange,
+    crash_relay,
     entry_outbox,
     fleet_link,
     known_entries,
@@ -86,6 +87,7 @@
         self._reported_at = float("-inf")
         self._ends_scheduled = False
         self._refused_owners: set[ids.EntryIncarnation] = set()
+        self._crash_relay = crash_relay.CrashRelay()
         self._exchange = config_exchange.ConfigExchange(cache)
         self._copy_schedule = config_exchange.CopySchedule()
         self._controller: runs.RunController | None = None
@@ -143,6 +145,11 @@
             asyncio.get_running_loop().call_soon(self._send_ends)
         self.on_report_changed()
 
+    def on_worker_crashed(self, generation: int, recent: list[ids.TaskKey], others: list[ids.TaskKey]) -> None:
+        """Tell all entries, as callers may send the jobs of a lost entry to any other one."""
+        self._counters.add("worker_crashes", "", "")
+        self._pass_on_crash(scheduling.WorkerCrash(self._name, self._incarnation, generation, recent, others))
+
     def on_report_changed(self) -> None:
         """Schedule a report to all entries."""
         now = asyncio.get_running_loop().time()
@@ -152,6 +159,14 @@
         """Log a decision."""
         self._journal.log_event(event, **fields)
 
+    def _pass_on_crash(self, crash: scheduling.WorkerCrash, source: _EntryConnection | None = None) -> None:
+        """Send a crash to all entries but its source, unless it was sent before."""
+        if not self._crash_relay.add(crash, asyncio.get_running_loop().time()):
+            return
+        for connection in self._connections.values():
+            if connection is not source:
+                connection.link.post(crash)
+
     def _pair_totals(self, owner: ids.EntryIncarnation, outbox: entry_outbox.EntryOutbox) -> accounting.PairTotals:
         service = self._controller.report().service if self._controller is not None else ""
         return outbox.account.totals(owner, "", ids.WorkspaceName(service))
@@ -298,6 +313,8 @@
                 outbox.unacknowledged,
             )
         )
+        for crash in self._crash_relay.recent(asyncio.get_running_loop().time()):
+            link.post(crash)
         self._known_entries.confirm(hello.entries)
 
     def _handle_message(
@@ -324,6 +341,8 @@
             for other in self._connections.values():
                 if other is not connection:
                     other.link.post(message)
+        elif isinstance(message, scheduling.WorkerCrash):
+            self._pass_on_crash(message, connection)
         elif isinstance(message, messages.DocumentRequest):
             self._exchange.answer(connection.link, message)
         elif isinstance(message, messages.ConfigDocument):
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -271,6 +271,8 @@
                 self._exchange.request_if_newer(peer.link, message.config_version)
         elif isinstance(message, messages.CancelJob):
             self._scheduler.cancel(message.job, scheduling.JobResult.CANCELED, "canceled_at_other_entry")
+        elif isinstance(message, scheduling.WorkerCrash):
+            self._handle_crash(peer, message, now)
         elif isinstance(message, messages.DocumentRequest):
             if peer.link is not None:
                 self._exchange.answer(peer.link, message)
@@ -294,6 +296,22 @@
         peer.is_lost = False
         self._scheduler.update_worker(view, report, message.handled_start, now)
 
+    def _handle_crash(self, peer: agent_peer.AgentPeer, crash: scheduling.WorkerCrash, now: float) -> None:
+        """Count a crash and pass it on to all agents, and through them to entries without a link to its agent."""
+        if not self._scheduler.record_crash(crash, now):
+            return
+        self._counters.add("worker_crashes", "", crash.agent)
+        self._journal.log_event(
+            "crash_counted",
+            agent=crash.agent,
+            passed_on_by=peer.name,
+            recent=" ".join(str(task) for task in crash.recent),
+            others=len(crash.others),
+        )
+        for other in self._peers.values():
+            if other is not peer and other.link is not None:
+                other.link.post(crash)
+
     def _mark_earlier_runs_lost(self, peer: agent_peer.AgentPeer, now: float) -> None:
         if self._scheduler.runs_on_agent(peer.name):
             self._scheduler.handle_agent_loss(peer.name, "agent_restarted", now)
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -9,7 +9,7 @@
 
 from cactusgauge import ids, scheduling
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 
 class EntryHello(NamedTuple):
@@ -150,6 +150,7 @@
     | DocumentRequest
     | ConfigDocument
     | EntryAnnouncement
+    | scheduling.WorkerCrash
 )
 
 MESSAGE_TYPES: tuple[type[Message], ...] = (
@@ -165,4 +166,5 @@
     DocumentRequest,
     ConfigDocument,
     EntryAnnouncement,
+    scheduling.WorkerCrash,
 )
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -15,6 +15,7 @@
 START_ATTEMPTS = 3
 RETRY_PAUSE_S = 0.02
 MISSED_HEARTBEATS = 3
+RECENT_START_S = 0.1  # a task that crashes the worker that starts it does so within this time
 MAX_TOKEN = 2**53  # largest integer that every JSON parser represents exactly
 NO_REPLY = "no_reply"
 
@@ -26,6 +27,13 @@
     def on_run_ended(self, owner: ids.EntryIncarnation, end: scheduling.RunEnd) -> None:
         """Handle the end of a run that belongs to an entry."""
 
+    @abc.abstractmethod
+    def on_worker_crashed(self, generation: int, recent: list[ids.TaskKey], others: list[ids.TaskKey]) -> None:
+        """Handle a crash of the worker; the ends of its runs follow.
+
+        `recent` are the tasks that were started shortly before the crash, `others` the remaining ones on the worker.
+        """
+
     @abc.abstractmethod
     def on_report_changed(self) -> None:
         """Handle a change of the worker's report."""
@@ -67,6 +75,7 @@
         self._generation = 0  # counts the incarnations seen
         self._is_recovered = False  # whether a listing has shown only runs that are in the registry
         self._is_down = True  # until a heartbeat arrives, also after a refused connection or the loss of the worker
+        self._failing_since: float | None = None  # time of the first failed request since the last reply
         self._is_draining = False  # whether the agent is stopping
         self._processed_end = 0  # number of the last end in the worker's listings that was processed
         self._acknowledged_end = 0  # number of the last end that the worker knows to be processed
@@ -226,8 +235,10 @@
         the same id may have reached the new incarnation, so their runs are kept until a listing shows that they are
         gone.
         """
-        if not is_same_worker:
-            self._mark_all_lost("worker_restarted")
+        if is_same_worker:
+            self._report_crash()
+        else:
+            self._mark_all_lost("worker_restarted", has_crashed=True)
         self._generation += 1
         self._incarnation = incarnation
         earlier_leases_s = self._timing.max_lease_s if is_same_worker else 0.0
@@ -257,16 +268,19 @@
                         worker_client.StartRequest(run.key, new.payload, lease_until_s, self._token)
                     )
             except worker_client.WorkerDownError:
+                self._record_failure()
                 self._mark_down()
                 if attempt == 0:
                     self._end_run(run, scheduling.EndKind.NOT_STARTED, "worker_down")
                     return
                 continue
             except worker_client.WorkerCallError:
+                self._record_failure()
                 continue
             except worker_client.WrongWorkerError:
                 self._handle_worker_gone(client)
                 return
+            self._failing_since = None
             if reply.clock_s is not None:
                 lease.update_clock(reply.clock_s)
             if self._registry.get(run.key) is not run:
@@ -350,12 +364,14 @@
             self._handle_worker_gone(client)
             return
         except worker_client.WorkerCallError as error:
+            self._record_failure()
             if isinstance(error, worker_client.WorkerDownError):
                 self._mark_down()
             if lease.has_expired and self._client is client:
-                self._mark_all_lost("lease_over")
+                self._mark_all_lost("lease_over", has_crashed=self._is_down)
             await asyncio.sleep(RETRY_PAUSE_S)
             return
+        self._failing_since = None
         if self._client is not client:
             return
         if listing.incarnation and self._incarnation and listing.incarnation != self._incarnation:
@@ -452,17 +468,36 @@
         self._client = None
         self._is_down = True
         self._is_recovered = False
-        self._mark_all_lost("worker_gone")
+        self._mark_all_lost("worker_gone", has_crashed=True)
         self._log_phase("worker_gone")
         self._observer.on_report_changed()
 
-    def _mark_all_lost(self, reason: str) -> None:
+    def _mark_all_lost(self, reason: str, has_crashed: bool) -> None:
         runs = list(self._registry.runs)
         if runs:
             self._observer.log_event("runs_lost", runs=len(runs), reason=reason)
+        if has_crashed:
+            self._report_crash()
         for run in runs:
             self._end_run(run, scheduling.EndKind.LOST, reason)
 
+    def _record_failure(self) -> None:
+        if self._failing_since is None:
+            self._failing_since = asyncio.get_running_loop().time()
+
+    def _report_crash(self) -> None:
+        """Report the tasks on a worker that has crashed; one that was draining has stopped as planned."""
+        runs = self._registry.runs
+        if not runs or (self._heartbeat is not None and self._heartbeat.is_draining):
+            return
+        crashed_at = self._failing_since if self._failing_since is not None else asyncio.get_running_loop().time()
+        recent = [run.key.task for run in runs if run.started_at > crashed_at - RECENT_START_S]
+        others = [run.key.task for run in runs if run.started_at <= crashed_at - RECENT_START_S]
+        self._observer.log_event(
+            "worker_crashed", life=self._incarnation, recent=" ".join(str(task) for task in recent), others=len(others)
+        )
+        self._observer.on_worker_crashed(self._generation, recent, others)
+
     def _mark_down(self) -> None:
         if not self._is_down:
             self._is_down = True
--- a/src/cactusgauge/scheduling/__init__.py
+++ b/src/cactusgauge/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling of jobs whose tasks run under leases: queueing, admission, placement and retries."""
 
 from cactusgauge.scheduling.admission_policy import AcceptAll, AdmissionPolicy, Load, ObjectiveAdmission, Refusal
+from cactusgauge.scheduling.crash_ledger import CrashLedger, WorkerCrash
 from cactusgauge.scheduling.duration_estimator import DurationEstimator
 from cactusgauge.scheduling.fleet_state import FleetState
 from cactusgauge.scheduling.job_order import ArrivalOrder, JobOrder, UrgencyOrder
@@ -19,6 +20,7 @@
     "AcceptAll",
     "AdmissionPolicy",
     "ArrivalOrder",
+    "CrashLedger",
     "DropLateJobs",
     "DurationEstimator",
     "EndKind",
@@ -43,6 +45,7 @@
     "Step",
     "TaskPhase",
     "UrgencyOrder",
+    "WorkerCrash",
     "WorkerPhase",
     "WorkerReport",
     "WorkerView",
--- a/src/cactusgauge/scheduling/fleet_state.py
+++ b/src/cactusgauge/scheduling/fleet_state.py
@@ -3,6 +3,7 @@
 import statistics
 from typing import TYPE_CHECKING
 
+from cactusgauge import rendezvous
 from cactusgauge.scheduling import worker_report, worker_view
 
 if TYPE_CHECKING:
@@ -13,6 +14,8 @@
 MIN_SLOWNESS = 0.05  # lower bound of reported slowness and of the median, which is used as a divisor
 # A worker that stops reporting is expected to return within this time; a restart takes half of it.
 RETURN_TIMEOUT_S = 3.0
+CRASH_RETURN_TIMEOUT_S = 5.0  # a worker that crashed is expected to return within this time
+TRIAL_SHARE = 0.1  # of the workers; they may all be down while tasks crash them, and the rest must carry the load
 
 
 class FleetState:
@@ -68,6 +71,25 @@
         ]
         return sum(view.accepts_runs for view in expected) / len(expected) if expected else 0.0
 
+    def trial_workers(
+        self, service: "ids.ServiceName", can_run: "abc.Callable[[worker_view.WorkerView], bool]", now: float
+    ) -> "list[worker_view.WorkerView]":
+        """Return the workers for tasks that may have crashed another worker, among those for which `can_run` holds.
+
+        These are the same few workers at all entries. A worker that such a task has crashed stays one of them until it
+        returns, so that no more of them are down at a time and the other workers serve the other tasks.
+        """
+        expected = [
+            view
+            for view in self._workers.values()
+            if view.report is not None
+            and view.report.service == service
+            and now - view.ready_at < CRASH_RETURN_TIMEOUT_S
+            and can_run(view)
+        ]
+        expected.sort(key=lambda view: rendezvous.unit_hash(service, view.agent))
+        return expected[: max(1, round(TRIAL_SHARE * len(expected)))]
+
     def available_workers(self, service: "ids.ServiceName") -> "list[worker_view.WorkerView]":
         """Return the workers of a service that accept runs."""
         return [
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -7,6 +7,7 @@
 from cactusgauge import ids
 from cactusgauge.scheduling import (
     admission_policy,
+    crash_ledger,
     drain_rate,
     duration_estimator,
     fleet_state,
@@ -39,6 +40,8 @@
 MAX_LOGGED_WAIT_S = 1e6  # JSON has no infinity
 STARTUP_GRACE_S = 1.0  # a new entry accepts every job for this long, as not all workers have reported yet
 RUN_NUMBER_STEP = 10_000  # increment for a run number that a worker refused as too low
+TRIAL_S = 0.2  # after this time without a crash, the next suspect may start on a worker; covers reports and delays
+CRASHES_WORKERS = "crashes_workers"  # reason for which a job fails if workers crash under one of its tasks
 
 
 class JobResult(enum.Enum):
@@ -104,6 +107,7 @@
         self._new_run_number = new_run_number
         self._duration_estimator = duration_estimator.DurationEstimator()
         self._drain_rate = drain_rate.DrainRate()
+        self._crash_ledger = crash_ledger.CrashLedger()
         self._jobs: dict[ids.JobKey, parallel_job.ParallelJob] = {}
         self._running: dict[ids.AgentName, dict[ids.RunKey, parallel_job.ParallelTask]] = {}
         self._stopping_runs: dict[ids.TaskKey, ids.RunKey] = {}  # of ended jobs, until their end is known
@@ -143,6 +147,9 @@
         if refusal is not None:
             return refusal
         self._jobs[job.key] = job
+        if self._crash_ledger.is_at_limit(job.key):  # its caller has sent it before, to this or another entry
+            self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
+            return None
         self._output.request_dispatch()
         return None
 
@@ -190,6 +197,20 @@
         else:
             self._requeue(agent, task, end, now)
 
+    def record_crash(self, crash: crash_ledger.WorkerCrash, now: float) -> bool:
+        """Count the crash of a worker and end jobs with a task that causes crashes; return whether it was unknown.
+
+        The ends of this entry's runs on the worker are reported separately.
+        """
+        if not self._crash_ledger.record(crash, now):
+            return False
+        for key in {task.job for task in (*crash.recent, *crash.others)}:
+            job = self._jobs.get(key)
+            if job is not None and self._crash_ledger.is_at_limit(key):
+                job.record_decision(now, f"given up after a crash at {crash.agent}")
+                self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
+        return True
+
     def handle_agent_loss(self, agent: ids.AgentName, reason: str, now: float) -> None:
         """Treat all runs on an agent as lost."""
         runs = list(self._running.get(agent, {}))
@@ -240,6 +261,8 @@
                 if task.phase is not parallel_job.TaskPhase.WAITING or task.key in self._stopping_runs:
                     continue
                 candidates = [view for view in available if run_placement.is_eligible(task, view, runs_per_agent)]
+                if self._crash_ledger.is_suspect(task.key):
+                    candidates = self._workers_for_suspect(task, candidates, now)
                 preferred = [view for view in candidates if view.agent not in task.avoided_agents]
                 expected_s = self._duration_estimator.expected_s(job.policy.queue, task.step.estimate_s)
                 worker = self._placement.choose(task, expected_s, preferred or candidates, now)
@@ -251,6 +274,31 @@
                     available = self._available_workers(job, now)
         return True
 
+    def _workers_for_suspect(
+        self, task: parallel_job.ParallelTask, candidates: list[worker_view.WorkerView], now: float
+    ) -> list[worker_view.WorkerView]:
+        """Return the trial workers on which a task that may have crashed another worker can run again.
+
+        Suspects start there one after the other, so that a second crash shows which of them is the cause.
+        """
+
+        def can_run(view: worker_view.WorkerView) -> bool:
+            return (
+                view.report is not None
+                and task.demand.fits(view.report.capacity)
+                and run_placement.is_eligible(task, view, {})
+            )
+
+        trial_workers = self._fleet.trial_workers(task.job.policy.service, can_run, now)
+        return [view for view in trial_workers if view in candidates and not self._has_trial(view.agent, now)]
+
+    def _has_trial(self, agent: ids.AgentName, now: float) -> bool:
+        """Return whether a suspect was started on a worker so recently that it may still crash it."""
+        return any(
+            now - task.started_at < TRIAL_S and self._crash_ledger.is_suspect(task.key)
+            for task in self._running.get(agent, {}).values()
+        )
+
     def _available_workers(self, job: parallel_job.ParallelJob, now: float) -> list[worker_view.WorkerView]:
         """Return the workers of a job's service that accept runs and are below the limit set by their health."""
         result = []
@@ -292,6 +340,7 @@
                 job.policy.queue, task.step.estimate_s, end.ran_s, self._fleet.slowness(view)
             )
         self._health.record(agent, job.key, job.policy.queue, failed=False)
+        self._crash_ledger.clear(task.key)
         for unblocked in job.mark_done(task):
             unblocked.phase = parallel_job.TaskPhase.WAITING
         if job.open_count == 0:
--- a/src/cactusgauge/scheduling/worker_view.py
+++ b/src/cactusgauge/scheduling/worker_view.py
@@ -16,6 +16,7 @@
         self.report: worker_report.WorkerReport | None = None
         self.is_reachable = False
         self.reported_at = 0.0
+        self.ready_at = float("-inf")  # time of the last report with the phase READY
         self._reservations: dict[int, resources.Resources] = {}  # by the sequence number of the start
         self._free = resources.Resources()
 
@@ -33,6 +34,8 @@
         """Apply a report that includes all starts up to number `handled_start`."""
         self.report = report
         self.reported_at = now
+        if report.phase is worker_report.WorkerPhase.READY:
+            self.ready_at = now
         self._reservations = {number: each for number, each in self._reservations.items() if number > handled_start}
         self._free = report.free
         for each in self._reservations.values():
--- a/src/emulator/leased_worker.py
+++ b/src/emulator/leased_worker.py
@@ -30,7 +30,8 @@
 
     Durations are measured by the loop's clock; the worker's own clock runs at `clock_rate` times its speed. With
     `drops_replies`, requests take effect but get no reply. With `delays_requests`, they are kept in `delayed_requests`
-    instead, until a test calls them. `history` holds every run that was started.
+    instead, until a test calls them. A run of one of the `crashing_jobs` crashes the worker when it starts. `history`
+    holds every run that was started.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.delays_requests = False
         self.is_down = False
         self.failing_jobs: set[ids.JobKey] = set()
+        self.crashing_jobs: set[ids.JobKey] = set()
         self.fails_all_runs = False
         self.history: list[RunRecord] = []
         self.delayed_requests: list[abc.Callable[[], object]] = []
@@ -156,6 +158,9 @@
         run = RunRecord(key, request.payload, now, now + self._duration_s(key))
         self._runs[key.task] = run
         self.history.append(run)
+        if key.job in self.crashing_jobs:
+            self.crash()
+            raise runs.WorkerCallError("connection reset")
         return runs.StartReply(runs.StartStatus.STARTED, self.clock_s)
 
     def _stop(self, key: ids.RunKey, fencing_token: int) -> bool:
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -13,6 +13,7 @@
     from collections import abc
 
 HOST = "127.0.0.1"
+HEARTBEAT_S = 0.5
 TIMING = runs.run_timing(resend_after_s=1.3, max_lease_s=1.0, stop_s=0.05)
 QUEUE = scheduling.QueuePolicy(ids.QueueName("q"), ids.ServiceName("s"), 0, 2, 1.6, 0.06)
 
@@ -101,6 +102,7 @@
 
     def __init__(self, name: str, seeds: list[str], directory: fleet.EntryDirectory | None = None) -> None:
         self.duration_s = 0.1
+        self.restart_after_s = 0.8  # of a crashed worker
         self.worker = leased_worker.LeasedWorker(lambda key: self.duration_s)
         self.name = name
         counters = observability.Counters()
@@ -124,11 +126,14 @@
             group.create_task(self.link_client.run(self.controller))
             sequence = 0
             while True:
+                if self.worker.is_down:
+                    await asyncio.sleep(self.restart_after_s)
+                    self.worker.restart()
                 sequence += 1
                 self.controller.handle_heartbeat(
                     runs.WorkerHeartbeat(
                         ids.WorkerId(self.name),
-                        1,
+                        self.worker.incarnation,
                         sequence,
                         ids.ServiceName("s"),
                         "10.0.0.1:80",
@@ -138,7 +143,7 @@
                         self.worker.clock_s,
                     )
                 )
-                await asyncio.sleep(0.5)
+                await asyncio.sleep(HEARTBEAT_S)
 
 
 @contextlib.asynccontextmanager
--- a/tests/unit/runs/test_run_controller.py
+++ b/tests/unit/runs/test_run_controller.py
@@ -411,3 +411,87 @@
         harness.worker.crash()
         await harness.renew_grant(0.8)  # a lease is 0.563 s, on a clock that may be 2 % slow
         assert harness.end_kinds() == [LOST]
+
+
+async def test_crash_names_the_tasks_that_had_just_started() -> None:
+    """Guards against a crash that is put down to tasks which had been running for long."""
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key(0))
+        await harness.renew_grant(0.3)
+        harness.start(conftest.run_key(1))
+        await asyncio.sleep(0.02)
+        harness.worker.crash()
+        await harness.renew_grant(0.8)
+    assert harness.crashes == [([conftest.run_key(1).task], [conftest.run_key(0).task])]
+
+
+async def test_start_that_crashes_the_worker_is_named() -> None:
+    """Guards against a crash whose cause is unknown because its start got no reply."""
+    harness = conftest.ControllerHarness()
+    harness.worker.crashing_jobs.add(ids.JobKey("j"))
+    async with harness.serving():
+        harness.start(conftest.run_key())
+        await harness.renew_grant(0.8)
+    assert harness.crashes == [([conftest.run_key().task], [])]
+    assert harness.end_kinds() == [LOST]
+
+
+async def test_crash_of_a_worker_that_is_back_at_once_is_reported() -> None:
+    """Guards against a task that crashes workers which restart before their lease is over."""
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key())
+        await asyncio.sleep(0.02)
+        harness.worker.restart()
+        harness.send_heartbeat(incarnation=2, sequence=1)
+        await harness.renew_grant(0.2)
+    assert harness.crashes == [([conftest.run_key().task], [])]
+
+
+async def test_worker_that_leaves_as_planned_has_not_crashed() -> None:
+    """Guards against jobs that are given up because their workers were taken away."""
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key())
+        await harness.renew_grant(0.1)
+        harness.send_heartbeat(is_draining=True)
+        harness.worker.crash()
+        await harness.renew_grant(0.8)
+    assert harness.end_kinds() == [LOST]
+    assert harness.crashes == []
+
+
+async def test_silent_worker_has_not_crashed() -> None:
+    """Guards against jobs that are given up because their workers were only cut off."""
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key())
+        await harness.renew_grant(0.1)
+        harness.worker.delays_requests = True
+        await harness.renew_grant(1.5)
+    assert harness.end_kinds() == [LOST]
+    assert harness.crashes == []
+
+
+async def test_shrunk_capacity_takes_no_start_until_there_is_room() -> None:
+    """Guards against a start that brings a worker over a capacity which has shrunk, while a run is being stopped."""
+    harness = conftest.ControllerHarness(duration_s=3.0)
+    async with harness.serving():
+        for number in range(3):
+            harness.start(conftest.run_key(number))
+        await harness.renew_grant(0.1)
+        harness.send_heartbeat(cores=2)
+        assert harness.controller.report().free.cpu_millicores == -1000
+        harness.controller.stop([conftest.run_key(0), conftest.run_key(1)], "canceled")
+        harness.start(conftest.run_key(3))
+        assert harness.end_reasons() == ["no_room"]
+        await harness.renew_grant(0.2)
+        harness.start(conftest.run_key(4))
+        harness.start(conftest.run_key(5))
+        await harness.renew_grant(0.1)
+        assert harness.end_reasons() == ["no_room", "canceled", "canceled", "no_room"]
+        harness.send_heartbeat(cores=4)
+        harness.start(conftest.run_key(6))
+        await harness.renew_grant(0.1)
+        assert len(harness.worker.running) == 3
