Give a job up only for crashes that certainly followed a start

Cause: its starts were on their way when another task crashed the worker, and counted as having preceded the crash; then two entries started suspects on the trial worker at the same moment, so that the second crash counted for both.

Change: tasks whose starts had no reply are reported apart and become suspects, but the crash does not count towards their limit, unless only one task had just started. An agent refuses a suspect just after the start of another one, whichever entry sent it, and the entry waits before it tries again. The limit for tasks that are never the cause by this account is four crashes instead of three: a test with one worker shows a long task that met three crashes beside it. A job at its limit is answered before the admission, also while no worker is up.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -8,13 +8,13 @@
 from cactusgauge import accounting, background, exceptions, ids, runs, scheduling, wire
 from cactusgauge.fleet import (
     config_exchange,
-    crash_relay,
     entry_outbox,
     fleet_link,
     known_entries,
     link_monitor,
     link_selector,
     messages,
+    recent_crashes,
     report_schedule,
     stores,
 )
@@ -87,7 +87,8 @@
         self._reported_at = float("-inf")
         self._ends_scheduled = False
         self._refused_owners: set[ids.EntryIncarnation] = set()
-        self._crash_relay = crash_relay.CrashRelay()
+        self._recent_crashes = recent_crashes.RecentCrashes()
+        self._crash_ledger = scheduling.CrashLedger()
         self._exchange = config_exchange.ConfigExchange(cache)
         self._copy_schedule = config_exchange.CopySchedule()
         self._controller: runs.RunController | None = None
@@ -129,6 +130,8 @@
     def on_run_ended(self, owner: ids.EntryIncarnation, end: scheduling.RunEnd) -> None:
         """Report the end of a run to its owner."""
         self._counters.add("runs_ended", "", end.reason or end.kind.value)
+        if end.kind is scheduling.EndKind.DONE:
+            self._crash_ledger.clear(end.key.task)
         if end.kind is not scheduling.EndKind.DONE:
             self._journal.log_event(
                 "run_ended", run=str(end.key), entry=owner, kind=end.kind.value, reason=end.reason,
@@ -145,10 +148,10 @@
             asyncio.get_running_loop().call_soon(self._send_ends)
         self.on_report_changed()
 
-    def on_worker_crashed(self, generation: int, recent: list[ids.TaskKey], others: list[ids.TaskKey]) -> None:
+    def on_worker_crashed(self, generation: int, tasks: scheduling.TasksAtCrash) -> None:
         """Tell all entries, as callers may send the jobs of a lost entry to any other one."""
         self._counters.add("worker_crashes", "", "")
-        self._pass_on_crash(scheduling.WorkerCrash(self._name, self._incarnation, generation, recent, others))
+        self._pass_on_crash(scheduling.WorkerCrash(self._name, self._incarnation, generation, tasks))
 
     def on_report_changed(self) -> None:
         """Schedule a report to all entries."""
@@ -159,10 +162,22 @@
         """Log a decision."""
         self._journal.log_event(event, **fields)
 
+    def _is_trial_running(self, new: runs.NewRun, controller: runs.RunController) -> bool:
+        """Return whether a run is of a suspect and another suspect has just started on the worker."""
+        if not self._crash_ledger.is_suspect(new.key.task):
+            return False
+        started_after = asyncio.get_running_loop().time() - runs.RECENT_START_S
+        return any(
+            run.started_at > started_after and self._crash_ledger.is_suspect(run.key.task)
+            for run in controller.registry.runs
+        )
+
     def _pass_on_crash(self, crash: scheduling.WorkerCrash, source: _EntryConnection | None = None) -> None:
         """Send a crash to all entries but its source, unless it was sent before."""
-        if not self._crash_relay.add(crash, asyncio.get_running_loop().time()):
+        now = asyncio.get_running_loop().time()
+        if not self._crash_ledger.record(crash, now):
             return
+        self._recent_crashes.add(crash, now)
         for connection in self._connections.values():
             if connection is not source:
                 connection.link.post(crash)
@@ -313,7 +328,7 @@
                 outbox.unacknowledged,
             )
         )
-        for crash in self._crash_relay.recent(asyncio.get_running_loop().time()):
+        for crash in self._recent_crashes.current(asyncio.get_running_loop().time()):
             link.post(crash)
         self._known_entries.confirm(hello.entries)
 
@@ -327,7 +342,12 @@
                 new = runs.NewRun(
                     start.key, connection.incarnation, start.demand, start.expected_ms / 1000, start.payload
                 )
-                controller.start(new, message.stamp)
+                if self._is_trial_running(new, controller):
+                    # Another entry has just started a suspect; if the worker crashes now, the cause must be known.
+                    end = scheduling.RunEnd(new.key, scheduling.EndKind.NOT_STARTED, 0.0, scheduling.TRIAL_RUNNING)
+                    self.on_run_ended(new.owner, end)
+                else:
+                    controller.start(new, message.stamp)
             self.on_report_changed()
         elif isinstance(message, messages.Grant):
             controller.extend_grant(connection.incarnation, message.stamp + self._timing.grant_s)
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -305,8 +305,9 @@
             "crash_counted",
             agent=crash.agent,
             passed_on_by=peer.name,
-            recent=" ".join(str(task) for task in crash.recent),
-            others=len(crash.others),
+            recent=" ".join(str(task) for task in crash.tasks.recent),
+            unconfirmed=" ".join(str(task) for task in crash.tasks.unconfirmed),
+            others=len(crash.tasks.others),
         )
         for other in self._peers.values():
             if other is not peer and other.link is not None:
@@ -325,7 +326,7 @@
             peer.account.count_outcome(end.number, end.kind is not scheduling.EndKind.NOT_STARTED, end.ran_ms)
             start = peer.pop_start(end.key)
             if view is not None and start is not None:
-                if end.kind is scheduling.EndKind.NOT_STARTED:
+                if end.kind is scheduling.EndKind.NOT_STARTED and end.reason != scheduling.TRIAL_RUNNING:
                     view.handle_refusal(start[0])
                 else:
                     view.release(*start)
--- a/src/cactusgauge/runs/__init__.py
+++ b/src/cactusgauge/runs/__init__.py
@@ -1,6 +1,6 @@
 """Runs of tasks at one worker: capacity, leases, fencing and the grants of entries."""
 
-from cactusgauge.runs.run_controller import RunController, RunObserver
+from cactusgauge.runs.run_controller import RECENT_START_S, RunController, RunObserver
 from cactusgauge.runs.run_registry import NO_ROOM, NewRun, RunPhase, RunRegistry
 from cactusgauge.runs.timing import HEARTBEAT_INTERVAL_S, SUSPECT_AFTER_S, RunTiming, run_timing
 from cactusgauge.runs.worker_client import (
@@ -20,6 +20,7 @@
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
     "NO_ROOM",
+    "RECENT_START_S",
     "SUSPECT_AFTER_S",
     "FencedError",
     "NewRun",
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -28,11 +28,8 @@
         """Handle the end of a run that belongs to an entry."""
 
     @abc.abstractmethod
-    def on_worker_crashed(self, generation: int, recent: list[ids.TaskKey], others: list[ids.TaskKey]) -> None:
-        """Handle a crash of the worker; the ends of its runs follow.
-
-        `recent` are the tasks that were started shortly before the crash, `others` the remaining ones on the worker.
-        """
+    def on_worker_crashed(self, generation: int, tasks: scheduling.TasksAtCrash) -> None:
+        """Handle a crash of the worker's incarnation number `generation`; the ends of its runs follow."""
 
     @abc.abstractmethod
     def on_report_changed(self) -> None:
@@ -306,6 +303,7 @@
     def _mark_running(self, run: run_registry.Run) -> None:
         if run.phase is run_registry.RunPhase.STARTING:
             run.phase = run_registry.RunPhase.RUNNING
+            run.is_confirmed = True
             run.started_at = asyncio.get_running_loop().time()
             run.first_conclusive_listing = self._listing_number + 1
 
@@ -491,12 +489,22 @@
         if not runs or (self._heartbeat is not None and self._heartbeat.is_draining):
             return
         crashed_at = self._failing_since if self._failing_since is not None else asyncio.get_running_loop().time()
-        recent = [run.key.task for run in runs if run.started_at > crashed_at - RECENT_START_S]
-        others = [run.key.task for run in runs if run.started_at <= crashed_at - RECENT_START_S]
+        recent = [run for run in runs if run.started_at > crashed_at - RECENT_START_S]
+        # If there is only one, it is taken for the cause also without a reply to its start.
+        confirmed = [run for run in recent if run.is_confirmed or len(recent) == 1]
+        tasks = scheduling.TasksAtCrash(
+            [run.key.task for run in confirmed],
+            [run.key.task for run in recent if run not in confirmed],
+            [run.key.task for run in runs if run not in recent],
+        )
         self._observer.log_event(
-            "worker_crashed", life=self._incarnation, recent=" ".join(str(task) for task in recent), others=len(others)
+            "worker_crashed",
+            life=self._incarnation,
+            recent=" ".join(str(task) for task in tasks.recent),
+            unconfirmed=" ".join(str(task) for task in tasks.unconfirmed),
+            others=len(tasks.others),
         )
-        self._observer.on_worker_crashed(self._generation, recent, others)
+        self._observer.on_worker_crashed(self._generation, tasks)
 
     def _mark_down(self) -> None:
         if not self._is_down:
--- a/src/cactusgauge/runs/run_registry.py
+++ b/src/cactusgauge/runs/run_registry.py
@@ -36,13 +36,15 @@
     """A run that may exist at the worker.
 
     `first_conclusive_listing` is the number of the first listing that proves the run gone if it does not contain it;
-    None while the reply to its start or stop is awaited.
+    None while the reply to its start or stop is awaited. `is_confirmed` tells whether the worker has certainly started
+    the run.
     """
 
     __slots__ = (
         "demand",
         "expected_s",
         "first_conclusive_listing",
+        "is_confirmed",
         "key",
         "owner",
         "phase",
@@ -56,6 +58,7 @@
         self.demand = new.demand
         self.expected_s = new.expected_s
         self.phase = RunPhase.STARTING
+        self.is_confirmed = False
         self.started_at = now
         self.stop_reason = ""
         self.first_conclusive_listing: int | None = None
--- a/src/cactusgauge/scheduling/__init__.py
+++ b/src/cactusgauge/scheduling/__init__.py
@@ -1,7 +1,7 @@
 """Scheduling of jobs whose tasks run under leases: queueing, admission, placement and retries."""
 
 from cactusgauge.scheduling.admission_policy import AcceptAll, AdmissionPolicy, Load, ObjectiveAdmission, Refusal
-from cactusgauge.scheduling.crash_ledger import CrashLedger, WorkerCrash
+from cactusgauge.scheduling.crash_ledger import TRIAL_RUNNING, CrashLedger, TasksAtCrash, WorkerCrash
 from cactusgauge.scheduling.duration_estimator import DurationEstimator
 from cactusgauge.scheduling.fleet_state import FleetState
 from cactusgauge.scheduling.job_order import ArrivalOrder, JobOrder, UrgencyOrder
@@ -17,6 +17,7 @@
 from cactusgauge.scheduling.worker_view import WorkerView
 
 __all__ = [
+    "TRIAL_RUNNING",
     "AcceptAll",
     "AdmissionPolicy",
     "ArrivalOrder",
@@ -44,6 +45,7 @@
     "SchedulerOutput",
     "Step",
     "TaskPhase",
+    "TasksAtCrash",
     "UrgencyOrder",
     "WorkerCrash",
     "WorkerPhase",
--- a/src/cactusgauge/scheduling/crash_ledger.py
+++ b/src/cactusgauge/scheduling/crash_ledger.py
@@ -5,24 +5,40 @@
 
 from cactusgauge import ids
 
-MAX_ATTRIBUTED_CRASHES = 2  # a task to which this many crashes are attributed is not started again
-MAX_CRASHES = 3  # nor is a task during whose runs this many workers have crashed, whatever the cause
+MAX_CERTAIN_CRASHES = 2  # a task whose starts certainly preceded this many crashes is not started again
+MAX_CRASHES = 4  # nor is a task that was on this many workers when they crashed, whatever the cause
+TRIAL_RUNNING = "trial_running"  # reason for which an agent refuses a suspect just after the start of another one
 MEMORY_S = 120.0  # callers send a job again within seconds
 MAX_TASKS = 20_000  # about 5 MB
 
 
+class TasksAtCrash(NamedTuple):
+    """The tasks that were on a worker when it crashed.
+
+    `recent` are those that were started shortly before. `unconfirmed` are those whose starts were sent shortly before,
+    but got no reply, so that the worker may have crashed without them. `others` are the remaining ones.
+    """
+
+    recent: list[ids.TaskKey]
+    unconfirmed: list[ids.TaskKey]
+    others: list[ids.TaskKey]
+
+    @property
+    def all(self) -> list[ids.TaskKey]:
+        """All tasks that may have been on the worker."""
+        return [*self.recent, *self.unconfirmed, *self.others]
+
+
 class WorkerCrash(NamedTuple):
-    """A crash of an agent's worker, with the tasks that were running there.
+    """A crash of an agent's worker.
 
-    `generation` counts the incarnations of the worker that this process of the agent has seen. `recent` are the tasks
-    that were started shortly before the crash, `others` the remaining ones.
+    `generation` counts the incarnations of the worker that this process of the agent has seen.
     """
 
     agent: ids.AgentName
     incarnation: ids.AgentIncarnation
     generation: int
-    recent: list[ids.TaskKey]
-    others: list[ids.TaskKey]
+    tasks: TasksAtCrash
 
     @property
     def key(self) -> tuple[ids.AgentIncarnation, int]:
@@ -33,16 +49,17 @@
 class _Record:
     """Crashes during the runs of one task."""
 
-    __slots__ = ("attributed", "last_at", "total")
+    __slots__ = ("certain", "is_suspect", "last_at", "total")
 
     def __init__(self) -> None:
         self.total = 0
-        self.attributed = 0
+        self.certain = 0  # crashes that are attributed to the task and certainly followed its start
+        self.is_suspect = False
         self.last_at = 0.0
 
     @property
     def has_reached_limit(self) -> bool:
-        return self.attributed >= MAX_ATTRIBUTED_CRASHES or self.total >= MAX_CRASHES
+        return self.certain >= MAX_CERTAIN_CRASHES or self.total >= MAX_CRASHES
 
 
 class CrashLedger:
@@ -64,23 +81,24 @@
             return False
         self._forget_old(now)
         self._seen[crash.key] = now
-        suspects = {task for task in crash.recent if self.is_suspect(task)}
-        for task in (*crash.recent, *crash.others):
+        candidates = [*crash.tasks.recent, *crash.tasks.unconfirmed]
+        attributed = [task for task in candidates if self.is_suspect(task)] or candidates
+        for task in crash.tasks.all:
             record = self._records.setdefault(task, _Record())
             self._records.move_to_end(task)
             record.last_at = now
             record.total += 1
-        for task in suspects or crash.recent:
-            self._records[task].attributed += 1
-        for task in (*crash.recent, *crash.others):
-            if self._records[task].has_reached_limit:
+            if task in attributed:
+                record.is_suspect = True
+                record.certain += task in crash.tasks.recent
+            if record.has_reached_limit:
                 self._jobs_at_limit[task.job] = now
         return True
 
     def is_suspect(self, task: ids.TaskKey) -> bool:
         """Return whether a crash is attributed to a task."""
         record = self._records.get(task)
-        return record is not None and record.attributed > 0
+        return record is not None and record.is_suspect
 
     def is_at_limit(self, job: ids.JobKey) -> bool:
         """Return whether a job has a task that must not be started again."""
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -108,6 +108,7 @@
         self._duration_estimator = duration_estimator.DurationEstimator()
         self._drain_rate = drain_rate.DrainRate()
         self._crash_ledger = crash_ledger.CrashLedger()
+        self._trials_refused_at: dict[ids.AgentName, float] = {}
         self._jobs: dict[ids.JobKey, parallel_job.ParallelJob] = {}
         self._running: dict[ids.AgentName, dict[ids.RunKey, parallel_job.ParallelTask]] = {}
         self._stopping_runs: dict[ids.TaskKey, ids.RunKey] = {}  # of ended jobs, until their end is known
@@ -143,13 +144,14 @@
 
     def submit(self, job: parallel_job.ParallelJob, now: float) -> admission_policy.Refusal | None:
         """Accept a job or return its refusal; a refused job never runs."""
+        if self._crash_ledger.is_at_limit(job.key):  # its caller has sent it before, to this or another entry
+            self._jobs[job.key] = job
+            self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
+            return None
         refusal = self._check_admission(job, now)
         if refusal is not None:
             return refusal
         self._jobs[job.key] = job
-        if self._crash_ledger.is_at_limit(job.key):  # its caller has sent it before, to this or another entry
-            self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
-            return None
         self._output.request_dispatch()
         return None
 
@@ -204,7 +206,7 @@
         """
         if not self._crash_ledger.record(crash, now):
             return False
-        for key in {task.job for task in (*crash.recent, *crash.others)}:
+        for key in {task.job for task in crash.tasks.all}:
             job = self._jobs.get(key)
             if job is not None and self._crash_ledger.is_at_limit(key):
                 job.record_decision(now, f"given up after a crash at {crash.agent}")
@@ -293,7 +295,9 @@
         return [view for view in trial_workers if view in candidates and not self._has_trial(view.agent, now)]
 
     def _has_trial(self, agent: ids.AgentName, now: float) -> bool:
-        """Return whether a suspect was started on a worker so recently that it may still crash it."""
+        """Return whether this or another entry started a suspect on a worker so recently that it may still crash it."""
+        if now - self._trials_refused_at.get(agent, float("-inf")) < TRIAL_S / 2:
+            return True
         return any(
             now - task.started_at < TRIAL_S and self._crash_ledger.is_suspect(task.key)
             for task in self._running.get(agent, {}).values()
@@ -364,6 +368,8 @@
         task.agent = None
         if end.reason == "old_run":  # the worker has had a run of this task with the same or a higher number
             task.last_run += RUN_NUMBER_STEP
+        elif end.reason == crash_ledger.TRIAL_RUNNING:
+            self._trials_refused_at[agent] = now
         elif end.reason == "unhealthy":
             self._health.record(agent, task.job.key, task.job.policy.queue, failed=True)
             task.avoided_agents.add(agent)
