Let jobs crash workers and workers shrink in the soak

The soak gets two kinds of fault: jobs whose tasks crash each worker that starts them, and workers whose capacity shrinks and grows. They are drawn from a random stream of their own: the schedules of the seeds that failed in the past were compared with the old generator and are the same. New checks: starts of a crashing task, jobs given up without two crashes, starts beyond a capacity that has shrunk for 3.5 s; each is shown to find a planted fault.

Two faults of different kinds at the same time no longer raise TypeError (seeds 76, 86, 123, 133 and 249 could not start); a test draws 300 schedules.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from cactusgauge import ids
+
 if TYPE_CHECKING:
     from collections import abc
 
@@ -57,6 +59,7 @@
     action: CallerAction
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     canceled_at: float | None = None  # when the caller disconnected or its cancellation was acknowledged
+    crashes_workers: bool = False  # each worker that starts one of its tasks
 
     @property
     def is_refused(self) -> bool:
@@ -79,6 +82,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.ready: set[str] = set(entries)
         self.records: dict[str, JobRecord] = {}
+        self.crashing_share = 0.0  # of the new jobs
+        self.crashing_jobs: set[ids.JobKey] = set()
 
     async def submit_forever(self, session: aiohttp.ClientSession, per_second: float) -> None:
         """Submit jobs until cancelled."""
@@ -90,6 +95,9 @@
             record = JobRecord(f"{self._rng.getrandbits(64):016x}", self._rng.choice(self._profiles), "", action)
             record.payload = f"payload of {record.job}"
             self.records[record.job] = record
+            if self.crashing_share and self._rng.random() < self.crashing_share:
+                record.crashes_workers = True
+                self.crashing_jobs.add(ids.JobKey(record.job))
             task = asyncio.create_task(self._run_caller(session, record))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,7 +7,7 @@
 
 from cactusgauge import ids, scheduling
 from emulator import leased_worker
-from tests.soak import callers, promises, worker
+from tests.soak import callers, faults, promises, worker
 
 JOB_PROFILE = callers.JobProfile("/jobs/", 1, 9000, 0.1, 5.0)
 
@@ -122,3 +122,45 @@
     await asyncio.sleep(0)
     assert len(promises.check_recovery([observed.record], recovered_at=-1.0)) == 1
     assert promises.check_recovery([observed.record], recovered_at=1.0) == []
+
+
+async def test_task_that_crashes_worker_after_worker(observed: ObservedJob) -> None:
+    """Guards against a check that misses a task which is started after many crashes."""
+    observed.record.crashes_workers = True
+    observed.attempt.state = "failed"
+    runs = [observed.run, *(observed.add_run(number, number * 1.0, number + 0.01) for number in range(2, 6))]
+    for run in runs:
+        run.kind = scheduling.EndKind.LOST
+    assert observed.broken_promises() == []
+    observed.add_run(6, 6.0, 6.01).kind = scheduling.EndKind.LOST
+    assert observed.broken_promises() == ["a task that crashes its workers is given up"]
+
+
+async def test_job_given_up_after_one_crash(observed: ObservedJob) -> None:
+    """Guards against a check that misses a job which is given up although only one worker crashed under it."""
+    observed.attempt.state = "failed"
+    observed.run.kind = scheduling.EndKind.LOST
+    assert observed.broken_promises() == ["a job fails only by its tasks"]
+
+
+async def test_start_beyond_a_shrunk_capacity(observed: ObservedJob) -> None:
+    """Guards against a check that misses a start on a worker that has become too small, and allows for its delay."""
+    observed.incarnation.capacities = [(0.0, worker.CPU_MILLICORES), (5.0, 4000), (20.0, worker.CPU_MILLICORES)]
+    observed.add_run(2, 8.0, 8.1)
+    observed.add_run(3, 21.0, 21.1)
+    assert observed.broken_promises() == []
+    observed.add_run(4, 9.0, 9.1)
+    assert observed.broken_promises() == ["no worker is above its capacity"]
+
+
+def test_every_seed_has_a_schedule() -> None:
+    """Guards against seeds that cannot start because two faults of different kinds begin at the same time."""
+    for seed in range(300):
+        assert faults.generate_faults(seed, 45.0, with_added_kinds=True)
+
+
+def test_added_kinds_leave_the_other_faults_as_they_are() -> None:
+    """Guards against seeds that failed in the past and no longer cause the same faults."""
+    with_added = faults.generate_faults(4, 45.0, with_added_kinds=True)
+    others = [fault for fault in with_added if fault.kind not in faults.ADDED_KINDS]
+    assert others == faults.generate_faults(4, 45.0)
