--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -14,6 +14,7 @@
     link_monitor,
     link_selector,
     messages,
+    recent_crashes,
     report_schedule,
     stores,
 )
@@ -86,6 +87,8 @@
         self._reported_at = float("-inf")
         self._ends_scheduled = False
         self._refused_owners: set[ids.EntryIncarnation] = set()
+        self._recent_crashes = recent_crashes.RecentCrashes()
+        self._crash_ledger = scheduling.CrashLedger()
         self._exchange = config_exchange.ConfigExchange(cache)
         self._copy_schedule = config_exchange.CopySchedule()
         self._controller: runs.RunController | None = None
@@ -127,6 +130,8 @@
     def on_run_ended(self, owner: ids.EntryIncarnation, end: scheduling.RunEnd) -> None:
         """Report the end of a run to its owner."""
         self._counters.add("runs_ended", "", end.reason or end.kind.value)
+        if end.kind is scheduling.EndKind.DONE:
+            self._crash_ledger.clear(end.key.task)
         if end.kind is not scheduling.EndKind.DONE:
             self._journal.log_event(
                 "run_ended", run=str(end.key), entry=owner, kind=end.kind.value, reason=end.reason,
@@ -143,6 +148,11 @@
             asyncio.get_running_loop().call_soon(self._send_ends)
         self.on_report_changed()
 
+    def on_worker_crashed(self, generation: int, tasks: scheduling.TasksAtCrash) -> None:
+        """Tell all entries, as callers may send the jobs of a lost entry to any other one."""
+        self._counters.add("worker_crashes", "", "")
+        self._pass_on_crash(scheduling.WorkerCrash(self._name, self._incarnation, generation, tasks))
+
     def on_report_changed(self) -> None:
         """Schedule a report to all entries."""
         now = asyncio.get_running_loop().time()
@@ -152,6 +162,26 @@
         """Log a decision."""
         self._journal.log_event(event, **fields)
 
+    def _is_trial_running(self, new: runs.NewRun, controller: runs.RunController) -> bool:
+        """Return whether a run is of a suspect and another suspect has just started on the worker."""
+        if not self._crash_ledger.is_suspect(new.key.task):
+            return False
+        started_after = asyncio.get_running_loop().time() - runs.RECENT_START_S
+        return any(
+            run.started_at > started_after and self._crash_ledger.is_suspect(run.key.task)
+            for run in controller.registry.runs
+        )
+
+    def _pass_on_crash(self, crash: scheduling.WorkerCrash, source: _EntryConnection | None = None) -> None:
+        """Send a crash to all entries but its source, unless it was sent before."""
+        now = asyncio.get_running_loop().time()
+        if not self._crash_ledger.record(crash, now):
+            return
+        self._recent_crashes.add(crash, now)
+        for connection in self._connections.values():
+            if connection is not source:
+                connection.link.post(crash)
+
     def _pair_totals(self, owner: ids.EntryIncarnation, outbox: entry_outbox.EntryOutbox) -> accounting.PairTotals:
         service = self._controller.report().service if self._controller is not None else ""
         return outbox.account.totals(owner, "", ids.WorkspaceName(service))
@@ -298,6 +328,8 @@
                 outbox.unacknowledged,
             )
         )
+        for crash in self._recent_crashes.current(asyncio.get_running_loop().time()):
+            link.post(crash)
         self._known_entries.confirm(hello.entries)
 
     def _handle_message(
@@ -310,7 +342,12 @@
                 new = runs.NewRun(
                     start.key, connection.incarnation, start.demand, start.expected_ms / 1000, start.payload
                 )
-                controller.start(new, message.stamp)
+                if self._is_trial_running(new, controller):
+                    # Another entry has just started a suspect; if the worker crashes now, the cause must be known.
+                    end = scheduling.RunEnd(new.key, scheduling.EndKind.NOT_STARTED, 0.0, scheduling.TRIAL_RUNNING)
+                    self.on_run_ended(new.owner, end)
+                else:
+                    controller.start(new, message.stamp)
             self.on_report_changed()
         elif isinstance(message, messages.Grant):
             controller.extend_grant(connection.incarnation, message.stamp + self._timing.grant_s)
@@ -324,6 +361,8 @@
             for other in self._connections.values():
                 if other is not connection:
                     other.link.post(message)
+        elif isinstance(message, scheduling.WorkerCrash):
+            self._pass_on_crash(message, connection)
         elif isinstance(message, messages.DocumentRequest):
             self._exchange.answer(connection.link, message)
         elif isinstance(message, messages.ConfigDocument):
--- a/tests/unit/runs/conftest.py
+++ b/tests/unit/runs/conftest.py
@@ -28,6 +28,7 @@
         self.worker = leased_worker.LeasedWorker(lambda key: self.duration_s)
         self.ends: list[tuple[ids.EntryIncarnation, scheduling.RunEnd]] = []
         self.events: list[tuple[str, dict[str, Any]]] = []
+        self.crashes: list[scheduling.TasksAtCrash] = []
         self.controller = self.new_controller()
         self._sequence = 0
 
@@ -96,6 +97,10 @@
         """Record the end of a run."""
         self.ends.append((owner, end))
 
+    def on_worker_crashed(self, generation: int, tasks: scheduling.TasksAtCrash) -> None:
+        """Record the tasks on the crashed worker."""
+        self.crashes.append(tasks)
+
     def on_report_changed(self) -> None:
         """Do nothing, as tests call `report` themselves."""
 
