Number the ends for an entry on after a long cut

What callers saw: after an entry had been cut off from its agents for over 10 s, it accepted their jobs, started the tasks, and answered none, for 5 to more than 13 s. In a data centre with one entry, as lami-a, that is every caller there.

Cause: an agent that has no link to an entry for 10 s forgot the ends that it kept for it, and with them their numbers. After the link is back it numbers from 1 again, while the entry, which keeps the state of an agent for 30 s, ignores ends up to the last number that it has handled, and its grants acknowledge and so drop the new ones. Class of fault: one side of a link restarts a sequence while the other side goes on. The same happens without a cut when an agent drops its link to an entry, as another one is back, and links to it again 10 to 30 s later.

Change: after 10 s an agent drops the ends only; the numbers and the account go on. The entry takes runs that the agent does not hold for lost, as before. Looked for elsewhere: an entry that forgets an agent after 30 s numbered its starts from 1 while the agent reports a higher one as handled; it now goes on from that.

Test: test_jobs_end_after_an_entry_was_without_a_link_for_long fails on the code before (the job ends at its deadline).

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -34,7 +34,8 @@
 DIRECTORY_POLL_S = 10.0  # while linked, as linked entries report the others as well
 DIRECTORY_POLL_UNLINKED_S = 1.0
 FORGET_ENTRY_AFTER_S = 10.0  # an address that nobody reports is dropped after this long without a link
-FORGET_OUTBOX_AFTER_S = 10.0  # the outbox of an entry without a link for this long is dropped, its account kept
+FORGET_ENDS_AFTER_S = 10.0  # ends for an entry without a link for this long are dropped; it takes the runs for lost
+MAX_OUTBOXES = 500  # of entry incarnations; the oldest is closed, long after its entry has ended
 MAX_CLOSED_ACCOUNTS = 500  # enough for the entry restarts of a week at the target size
 FLUSH_TIMEOUT_S = 0.3
 
@@ -249,9 +250,12 @@
             for owner, outbox in list(self._outboxes.items()):
                 if owner in live:
                     outbox.last_linked_at = loop.time()
-                elif loop.time() - outbox.last_linked_at > FORGET_OUTBOX_AFTER_S:
+                elif len(self._outboxes) > MAX_OUTBOXES:
                     self._closed_accounts.append(self._pair_totals(owner, outbox))
                     del self._outboxes[owner]
+                elif loop.time() - outbox.last_linked_at > FORGET_ENDS_AFTER_S:
+                    # The numbers must go on: the entry, which may return, ignores ends up to the last one it handled.
+                    outbox.drop_ends()
             await asyncio.sleep(runs.HEARTBEAT_INTERVAL_S)
 
     def _copy_config(self, now: float) -> None:
--- a/src/cactusgauge/fleet/agent_peer.py
+++ b/src/cactusgauge/fleet/agent_peer.py
@@ -103,8 +103,12 @@
         while self._unhandled_starts and self._unhandled_starts[0] <= number:
             self.account.count_assign(self._unhandled_starts.popleft(), 1)
 
-    def reset(self, incarnation: "ids.AgentIncarnation", earlier_runs_end_at: float) -> None:
-        """Reset the state for a restarted agent, whose earlier runs may continue until `earlier_runs_end_at`."""
+    def reset(self, incarnation: "ids.AgentIncarnation", earlier_runs_end_at: float, handled_start: int) -> None:
+        """Reset the state for an agent that was restarted or had been forgotten.
+
+        Its earlier runs may continue until `earlier_runs_end_at`. Starts are numbered from `handled_start` on, the last
+        one that the agent has handled.
+        """
         self.incarnation = incarnation
         self.earlier_runs_end_at = earlier_runs_end_at
         self.stamp = 0.0
@@ -112,7 +116,7 @@
         self.generation = -1
         self.account = accounting.PairAccount()
         self._unhandled_starts.clear()
-        self._next_start = 1
+        self._next_start = handled_start + 1
 
     def attach(self, link: "fleet_link.FleetLink", handled_start: int) -> None:
         """Use a new link; starts beyond `handled_start` never arrived."""
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -230,7 +230,7 @@
         if is_new:
             # The runs of the earlier process end with its lease; `_tick_forever` or a report marks them as lost.
             self._close_account(peer)
-            peer.reset(hello.incarnation, now + self._timing.runs_gone_after_s)
+            peer.reset(hello.incarnation, now + self._timing.runs_gone_after_s, hello.handled_start)
         peer.attach(link, hello.handled_start)
         peer.update_stamp(hello.stamp)
         view = self._fleet.add(hello.agent)
--- a/src/cactusgauge/fleet/entry_outbox.py
+++ b/src/cactusgauge/fleet/entry_outbox.py
@@ -49,6 +49,10 @@
         """Mark all ends as sent, as the hello message of a new link contains them."""
         self._sent_number = self._last_number
 
+    def drop_ends(self) -> None:
+        """Drop all ends without an acknowledgement."""
+        self._ends.clear()
+
     def acknowledge(self, number: int) -> None:
         """Remove the ends up to a number."""
         while self._ends and self._ends[0].number <= number:
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cactusgauge import fleet, ids, scheduling
+from cactusgauge import fleet, ids, scheduling, wire
+from cactusgauge.fleet import agent_link_client
 from tests.unit.fleet import conftest
 
 SUCCEEDED = scheduling.JobResult.SUCCEEDED
@@ -87,6 +88,39 @@
     assert all(at >= lease_end - 0.1 for at in restarts)
 
 
+async def test_jobs_end_after_an_entry_was_without_a_link_for_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an entry that ignores all ends of an agent which numbered them anew while they were cut off.
+
+    The entry then accepts jobs and starts their tasks, and none of them is ever answered.
+    """
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    is_cut = False
+    dial = wire.dial
+
+    async def dial_unless_cut(url: str, timeout_s: float) -> object:
+        if is_cut:
+            raise OSError("cut off")
+        return await dial(url, timeout_s)
+
+    monkeypatch.setattr(wire, "dial", dial_unless_cut)
+    monkeypatch.setattr(agent_link_client, "FORGET_ENDS_AFTER_S", 0.3)
+    async with conftest.running(entry, agent):
+        await conftest.until(lambda: entry.link_server.has_workers)
+        await entry.submit("earlier", tasks=4)
+        await asyncio.sleep(0.5)  # a grant acknowledges the ends
+        is_cut = True
+        for peer in entry.link_server._peers.values():
+            assert peer.link is not None
+            peer.link.abort()
+        await conftest.until(lambda: not entry.link_server.has_workers)
+        await asyncio.sleep(1.0)
+        is_cut = False
+        await conftest.until(lambda: entry.link_server.has_workers)
+        answer = await entry.submit("later")
+    assert answer is not None and answer.result is SUCCEEDED
+
+
 async def test_new_entry_becomes_known_through_a_seed() -> None:
     """Guards against an added entry that no agent links to because the agent's seeds do not name it."""
     first = conftest.Entry("e1", [])
