Close the connections of an entry that can serve nobody

What callers saw: while an entry is cut off from all workers, each of its callers is refused with no_workers for as long as the cut lasts, though other entries could serve them. Cause: the platform takes such an entry out of rotation, but an open connection stays with its entry, and only an entry that was stopping closed its connections. In a data centre with one entry that is every caller there.

Change: an entry that reports itself as not ready (stopping, without a configuration or without workers) answers with Connection: close. Callers open a new connection, which the platform routes to another entry two checks later.

Test: test_entry_without_workers_sends_its_callers_to_others fails on the code before.

--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -155,7 +155,8 @@
         headers = []
         if retry_after_s:
             headers.append((b"retry-after", str(retry_after_s).encode()))
-        if self.is_draining:
+        if not self.is_ready:
+            # An open connection stays with its entry; callers reach an entry that can serve them on a new one.
             headers.append((b"connection", b"close"))
         self._counters.add("responses", "", str(status))
         await asgi.respond(send, status, body, headers)
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -158,6 +158,29 @@
     assert answer is not None and answer[0] == 200 and answer[2][b"connection"] == b"close"
 
 
+async def test_entry_without_workers_sends_its_callers_to_others() -> None:
+    """Guards against callers that are refused for as long as their entry is cut off from all workers.
+
+    Their open connections stay with the entry, although the platform routes new ones to others.
+    """
+    entry = fleet_conftest.Entry("e", [])
+    agent = fleet_conftest.Agent("a", [entry.url])
+    async with fleet_conftest.running(entry, agent) as tasks:
+        await fleet_conftest.until(lambda: entry.link_server.has_workers)
+        setup = _Setup(entry, agent)
+        setup.configure()
+        served = await setup.call("POST", f"/q/{JOB}", BODY)
+        assert served is not None and served[0] == 200
+        assert b"connection" not in served[2]
+        await asyncio.sleep(1.1)  # in its first second an entry refuses no job for lack of workers
+        tasks[agent].cancel()
+        await fleet_conftest.until(lambda: not entry.link_server.has_workers)
+        refused = await setup.call("POST", f"/q/{JOB[:-1]}9", BODY)
+    assert refused is not None and refused[:2] == (503, {"code": "no_workers"})
+    assert refused[2][b"connection"] == b"close"
+    assert refused[2][b"retry-after"] == b"1"
+
+
 async def test_cancellation_by_the_caller() -> None:
     """Guards against a canceled job that keeps running or is reported as succeeded."""
     async with _running_app() as setup:
