--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from cactusgauge import runs
 from tests.soak import callers, faults, process, promises, proxy, store, worker
 from tests.unit.platform import fake_store
 
@@ -367,7 +368,9 @@
             leased.delays_requests = False
             delayed, leased.delayed_requests = leased.delayed_requests, []
             for request in delayed:
-                request()
+                if not leased.is_down:
+                    with contextlib.suppress(runs.WorkerCallError):  # it crashes the worker
+                        request()
 
     def _result(self) -> Result:
         records = self._callers.records
