Count only crashes of the worker when the soak judges a job that was given up

The emulated worker now marks the runs during which it crashed, and only these count. A planted fault shows it.

--- a/src/emulator/leased_worker.py
+++ b/src/emulator/leased_worker.py
@@ -23,6 +23,7 @@
     ended_at: float = float("inf")
     kind: scheduling.EndKind | None = None
     stopping_at: float | None = None
+    has_crashed: bool = False  # the worker, during the run
 
 
 class LeasedWorker(runs.WorkerClient):
@@ -82,7 +83,7 @@
         self._end_due_runs()
         now = asyncio.get_running_loop().time()
         for run in self._runs.values():
-            run.ended_at, run.kind = now, scheduling.EndKind.LOST
+            run.ended_at, run.kind, run.has_crashed = now, scheduling.EndKind.LOST, True
         self._runs.clear()
         self.is_down = True
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -65,8 +65,8 @@
         late_s = max(run.started_at for run in started) - record.canceled_at
         if late_s > CANCEL_GRACE_S:
             yield Finding("nothing starts after a cancellation", f"job {record.job}: {late_s:.2f} s after it")
-    lost = collections.Counter(run.key.task for run in started if run.kind is scheduling.EndKind.LOST)
-    may_be_given_up = bool(lost) and max(lost.values()) >= MIN_CRASHES_TO_GIVE_UP
+    crashes = collections.Counter(run.key.task for run in started if run.has_crashed)
+    may_be_given_up = bool(crashes) and max(crashes.values()) >= MIN_CRASHES_TO_GIVE_UP
     if (
         record.state == "failed"
         and not may_be_given_up
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -130,7 +130,7 @@
     observed.attempt.state = "failed"
     runs = [observed.run, *(observed.add_run(number, number * 1.0, number + 0.01) for number in range(2, 6))]
     for run in runs:
-        run.kind = scheduling.EndKind.LOST
+        run.kind, run.has_crashed = scheduling.EndKind.LOST, True
     assert observed.broken_promises() == []
     observed.add_run(6, 6.0, 6.01).kind = scheduling.EndKind.LOST
     assert observed.broken_promises() == ["a task that crashes its workers is given up"]
@@ -143,6 +143,14 @@
     assert observed.broken_promises() == ["a job fails only by its tasks"]
 
 
+async def test_job_given_up_after_lapsed_leases(observed: ObservedJob) -> None:
+    """Guards against a check that takes runs whose lease lapsed for runs whose worker crashed."""
+    observed.attempt.state = "failed"
+    for run in (observed.run, observed.add_run(2, 1.0, 1.1)):
+        run.kind = scheduling.EndKind.LOST
+    assert observed.broken_promises() == ["a job fails only by its tasks"]
+
+
 async def test_start_beyond_a_shrunk_capacity(observed: ObservedJob) -> None:
     """Guards against a check that misses a start on a worker that has become too small, and allows for its delay."""
     observed.incarnation.capacities = [(0.0, worker.CPU_MILLICORES), (5.0, 4000), (20.0, worker.CPU_MILLICORES)]
