--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -1,12 +1,15 @@
 """A TCP proxy on loopback that can reset, cut and silence connections."""
 
 import asyncio
+import socket
+import struct
 from typing import TYPE_CHECKING, Self
 
 if TYPE_CHECKING:
     from collections import abc
 
 CHUNK_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # closing sends a reset in place of the usual end of the stream
 
 
 class Connection:
@@ -22,9 +25,17 @@
         """Port from which the connection was opened."""
         return int(self.client.get_extra_info("peername")[1])
 
+    def close(self) -> None:
+        """Close both sides once everything that was received is sent."""
+        for writer in (self.client, self.server):
+            writer.close()
+
     def reset(self) -> None:
         """Reset both sides."""
         for writer in (self.client, self.server):
+            handle = writer.get_extra_info("socket")
+            if handle is not None and handle.fileno() >= 0:
+                handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
 
@@ -94,7 +105,7 @@
             for pump in pumps:
                 pump.cancel()
             self._tasks.difference_update(pumps)
-            connection.reset()
+            connection.close()
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: Connection) -> None:
         try:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -172,6 +172,8 @@
                 return web.json_response({"clock_ms": int(life.clock_ms), "reason": "fence"}, status=409)
             life.token = token
             status, reply = await handle(life, body)
+            if self.life is not life and request.transport is not None:
+                request.transport.abort()  # it crashed meanwhile, so it says nothing
             return web.json_response({"clock_ms": int(life.clock_ms), "born": life.born_ms, **reply}, status=status)
 
         return serve
