Run a job again if its caller sends it again after a broken connection

Cause: `ParallelJobService` recorded the end of an attempt as the outcome of the job. When the last caller's connection broke, the job was ended as CANCELED and this was kept as its answer, and a caller that sent the job again to the same entry got it. In a data centre with one entry this is where retries go. In the same way a job that was ended at its deadline or by a planned stop (504, "send it again") was kept as FAILED: sent again it got 504 at once without a run, and a GET showed `failed`.

Change: the scheduler tells attempts that were given up (`UNFINISHED`) from outcomes (succeeded, failed, canceled); only outcomes are kept and returned to later submissions. A job that is sent again runs from the start, and each of its tasks waits for the end of its earlier run as before. A submission whose job is cancelled by a DELETE is answered `failed`, the only one of the two states that is true; GET still shows `canceled`, and a later submission does not run.

Before the change these tests fail: the job sent again after a broken connection, the one past its deadline and the cancellation in test_job_app.py (GET answers 200 instead of 410, a POST `canceled`), and two of test_run_scheduler.py.

--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -20,7 +20,7 @@
 
 
 class JobAnswer(NamedTuple):
-    """How a job ended; if it did not run, its caller may send it again after `retry_after_s` seconds."""
+    """How a job ended; unless the result is final, its caller may send it again after `retry_after_s` seconds."""
 
     result: scheduling.JobResult
     reason: str
@@ -40,8 +40,9 @@
 class ParallelJobService:
     """Submits callers' jobs to the scheduler and returns their answers.
 
-    A job sent again while it is open gets the same answer, and one that ended recently is not run again. A job whose
-    callers have all disconnected is canceled, so that its workers are free for others.
+    A job sent again while it is open gets the same answer, and one that ended recently with a final result is not run
+    again. A job whose callers have all disconnected is given up, so that its workers are free for others; if it is sent
+    again, it runs from the start.
     """
 
     def __init__(self, counters: "observability.Counters", journal: "observability.Journal") -> None:
@@ -71,7 +72,7 @@
         """Return the answer to a job, or None if the caller disconnects first, when `wait_for_disconnect` returns."""
         assert self._scheduler is not None
         known = self._answers.get(new.key)
-        if known is not None and known.result is not scheduling.JobResult.NOT_RUN:
+        if known is not None:
             self._journal.log_event("job_known", job=new.key, result=known.result.value)
             return known
         if new.key not in self._waiting:
@@ -118,9 +119,10 @@
                 **job.admission,
             )
         answer = JobAnswer(result, reason, retry_after_s)
-        self._answers[job.key] = answer
-        if len(self._answers) > MAX_KEPT_ANSWERS:
-            self._answers.popitem(last=False)
+        if result.is_final:
+            self._answers[job.key] = answer
+            if len(self._answers) > MAX_KEPT_ANSWERS:
+                self._answers.popitem(last=False)
         for future in self._waiting.pop(job.key, []):
             if not future.done():
                 future.set_result(answer)
@@ -131,7 +133,7 @@
         return self._scheduler.cancel(key, scheduling.JobResult.CANCELED, "canceled")
 
     def answer(self, key: ids.JobKey) -> JobAnswer | None:
-        """Return the answer to a job that ended recently."""
+        """Return the answer to a job that ended recently with a final result."""
         return self._answers.get(key)
 
     def is_open(self, key: ids.JobKey) -> bool:
@@ -140,7 +142,6 @@
 
     def _open(self, new: NewJob, scheduler: scheduling.RunScheduler) -> scheduling.Refusal | None:
         now = asyncio.get_running_loop().time()
-        self._answers.pop(new.key, None)
         job = scheduling.ParallelJob(new.key, new.policy, new.steps, new.payload, now, new.deadline, ids.TaskKey)
         if len(self._waiting) >= MAX_OPEN_JOBS:
             refusal: scheduling.Refusal | None = scheduling.Refusal("too_many_jobs", 1)
@@ -179,5 +180,5 @@
                 waiting.remove(future)
                 if not waiting:
                     self._waiting.pop(key)
-                    self._scheduler.cancel(key, scheduling.JobResult.CANCELED, "caller_left")
+                    self._scheduler.cancel(key, scheduling.JobResult.UNFINISHED, "caller_left")
         return future.result() if future.done() else None
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -12,14 +12,13 @@
 DEFAULT_DEADLINE_S = 30.0  # for requests without a deadline header; a job is also canceled when its caller disconnects
 NO_CONFIG_RETRY_AFTER_S = 1
 
-# Started jobs that ended for one of these reasons are answered with 504; the caller may submit them again.
-UNFINISHED_REASONS = frozenset({"deadline", fleet.ENTRY_STOPPING})
-
 STATE_NAMES = {
     scheduling.JobResult.SUCCEEDED: "succeeded",
     scheduling.JobResult.FAILED: "failed",
     scheduling.JobResult.CANCELED: "canceled",
 }
+# The protocol has no `canceled` in the response to a submission.
+SUBMISSION_STATE_NAMES = {**STATE_NAMES, scheduling.JobResult.CANCELED: "failed"}
 
 
 class JobApp:
@@ -112,17 +111,17 @@
             return
         if answer.result is scheduling.JobResult.NOT_RUN:
             await self._respond(send, 503, {"code": answer.reason}, answer.retry_after_s)
-        elif answer.reason in UNFINISHED_REASONS:
+        elif answer.result is scheduling.JobResult.UNFINISHED:
             await self._respond(send, 504, {"code": answer.reason})
         else:
-            await self._respond(send, 200, {"state": STATE_NAMES[answer.result]})
+            await self._respond(send, 200, {"state": SUBMISSION_STATE_NAMES[answer.result]})
 
     async def _get(self, send: asgi.Send, key: ids.JobKey) -> None:
         job = self._entry.scheduler.get_job(key)
         answer = self._job_service.answer(key)
         if job is not None:
             await self._respond(send, 200, {"state": "running" if job.has_started else "queued"})
-        elif answer is not None and answer.result in STATE_NAMES:
+        elif answer is not None:
             await self._respond(send, 200, {"state": STATE_NAMES[answer.result]})
         else:
             await self._respond(send, 410, {})
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -45,12 +45,18 @@
 
 
 class JobResult(enum.Enum):
-    """Final result of a job."""
+    """How the scheduling of a job ended."""
 
     SUCCEEDED = "succeeded"
-    FAILED = "failed"
-    CANCELED = "canceled"
-    NOT_RUN = "not_run"
+    FAILED = "failed"  # a task has failed too often or crashes its workers
+    CANCELED = "canceled"  # at a caller's request
+    NOT_RUN = "not_run"  # none of its tasks has started or will start
+    UNFINISHED = "unfinished"  # given up before its outcome was known; some of its tasks may have run
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job must not run again if its caller sends it again."""
+        return self in (JobResult.SUCCEEDED, JobResult.FAILED, JobResult.CANCELED)
 
 
 class SchedulerOutput(abc.ABC):
@@ -176,7 +182,7 @@
     def cancel_all(self, reason: str) -> None:
         """End all jobs because the entry is stopping."""
         for job in list(self._jobs.values()):
-            self._finish(job, JobResult.FAILED if job.has_started else JobResult.NOT_RUN, reason)
+            self._finish(job, JobResult.UNFINISHED if job.has_started else JobResult.NOT_RUN, reason)
 
     def end_run(self, agent: ids.AgentName, end: run_end.RunEnd, now: float) -> None:
         """Process the end of a run: complete, fail or requeue its task."""
@@ -229,7 +235,7 @@
         self._last_tick_at = now
         for job in list(self._jobs.values()):
             if now >= job.deadline:
-                self._finish(job, JobResult.NOT_RUN if not job.has_started else JobResult.FAILED, "deadline")
+                self._finish(job, JobResult.UNFINISHED if job.has_started else JobResult.NOT_RUN, "deadline")
         self._drop_late_jobs(now)
         self._move_stragglers(now)
         self.dispatch(now)
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import contextlib
 import json
 from typing import TYPE_CHECKING, Any
@@ -140,12 +141,46 @@
 
 
 async def test_job_past_its_deadline_can_be_resubmitted() -> None:
-    """Guards against a job that is reported as not run although it has started."""
+    """Guards against a job that is reported as not run although it has started, or that never runs again."""
     async with _running_app() as setup:
         setup.configure()
         setup.agent.duration_s = 20.0
         answer = await setup.call("POST", f"/q/{JOB}", BODY, headers=((b"deadline-ms", b"300"),))
-    assert answer is not None and answer[:2] == (504, {"code": "deadline"})
+        assert answer is not None and answer[:2] == (504, {"code": "deadline"})
+        unknown = await setup.call("GET", f"/q/{JOB}")
+        assert unknown is not None and unknown[0] == 410
+        setup.agent.duration_s = 0.1
+        again = await setup.call("POST", f"/q/{JOB}", BODY)
+    assert again is not None and again[:2] == (200, {"state": "succeeded"})
+    _assert_one_run_at_a_time(setup)
+
+
+async def test_job_sent_again_after_a_broken_connection_is_run_and_answered() -> None:
+    """Guards against an answer that nobody can read: a state that stands for the end of the first connection."""
+    async with _running_app() as setup:
+        setup.configure()
+        setup.agent.duration_s = 20.0
+        disconnected = asyncio.Event()
+        calling = asyncio.create_task(setup.call("POST", f"/q/{JOB}", BODY, disconnected))
+        await fleet_conftest.until(lambda: len(setup.agent.worker.running) == 2)
+        disconnected.set()
+        assert await calling is None
+        unknown = await setup.call("GET", f"/q/{JOB}")
+        assert unknown is not None and unknown[0] == 410
+        setup.agent.duration_s = 0.1
+        again = await setup.call("POST", f"/q/{JOB}", BODY)
+    assert again is not None and again[:2] == (200, {"state": "succeeded"})
+    _assert_one_run_at_a_time(setup)
+
+
+def _assert_one_run_at_a_time(setup: _Setup) -> None:
+    """Check that each task of BODY was started twice, the second time after its first run had ended."""
+    runs_of_task = collections.defaultdict(list)
+    for run in setup.agent.worker.history:
+        runs_of_task[run.key.task].append(run)
+    assert [len(each) for each in runs_of_task.values()] == [2, 2]
+    for first, second in runs_of_task.values():
+        assert first.ended_at <= second.started_at
 
 
 async def test_stopping_entry_closes_its_connections() -> None:
@@ -182,7 +217,10 @@
 
 
 async def test_cancellation_by_the_caller() -> None:
-    """Guards against a canceled job that keeps running or is reported as succeeded."""
+    """Guards against a canceled job that keeps running, runs again or is reported as succeeded.
+
+    The response to a submission knows only `succeeded` and `failed`.
+    """
     async with _running_app() as setup:
         setup.configure()
         setup.agent.duration_s = 20.0
@@ -191,6 +229,11 @@
         deleted = await setup.call("DELETE", f"/q/{JOB}")
         answer = await calling
         assert deleted is not None and deleted[0] == 200
-        assert answer is not None and answer[:2] == (200, {"state": "canceled"})
+        assert answer is not None and answer[:2] == (200, {"state": "failed"})
+        state = await setup.call("GET", f"/q/{JOB}")
+        assert state is not None and state[:2] == (200, {"state": "canceled"})
+        again = await setup.call("POST", f"/q/{JOB}", BODY)
+        assert again is not None and again[:2] == (200, {"state": "failed"})
+        assert len(setup.agent.worker.starts) == 2
         unknown = await setup.call("DELETE", "/q/" + "0" * 16)
         assert unknown is not None and unknown[0] == 410
--- a/tests/unit/scheduling/test_run_scheduler.py
+++ b/tests/unit/scheduling/test_run_scheduler.py
@@ -73,8 +73,8 @@
     harness.worker("a")
     harness.worker("b")
     harness.submit(harness.job("j"))
-    harness.scheduler.cancel(ids.JobKey("j"), scheduling.JobResult.CANCELED, "caller_left")
-    assert harness.stopped == [(*harness.started[0], "canceled")]
+    harness.scheduler.cancel(ids.JobKey("j"), scheduling.JobResult.UNFINISHED, "caller_left")
+    assert harness.stopped == [(*harness.started[0], "unfinished")]
     harness.submit(harness.job("j"))
     assert len(harness.started) == 1
     harness.end(harness.started[0], STOPPED)
@@ -170,7 +170,7 @@
     harness.worker("a", free=0)
     harness.end(harness.started[1], scheduling.EndKind.NOT_STARTED, reason="no_room")
     harness.advance(11.0)
-    assert [result for _, result, _, _ in harness.finished] == [scheduling.JobResult.FAILED]
+    assert [result for _, result, _, _ in harness.finished] == [scheduling.JobResult.UNFINISHED]
 
 
 async def test_job_whose_starts_were_all_refused_is_reported_as_not_run(harness: conftest.SchedulerHarness) -> None:
