Let callers of the soak lose their connection and check that they can read each answer

In runs with added faults a share of the callers now loses its first connection and sends the job again, half of them to the same entry, and each answer with status 200 must hold succeeded or failed. A job may be answered as failed if its cancellation was sent; the answer was canceled before, which no check looked at. Callers that reconnect must also be served after the recovery.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,7 @@
     WAIT = "wait"
     DISCONNECT = "leave"
     CANCEL = "cancel"
+    RECONNECT = "reconnect"  # loses its first connection and sends the job again
 
 
 @dataclasses.dataclass
@@ -59,6 +60,7 @@
     action: CallerAction
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     canceled_at: float | None = None  # when the caller disconnected or its cancellation was acknowledged
+    is_cancel_sent: bool = False
     crashes_workers: bool = False  # each worker that starts one of its tasks
 
     @property
@@ -75,7 +77,13 @@
 class Callers:
     """Submits jobs at a given rate; `records` holds all of them by job id."""
 
-    def __init__(self, entries: dict[str, str], profiles: "abc.Sequence[JobProfile]", rng: random.Random) -> None:
+    def __init__(
+        self,
+        entries: dict[str, str],
+        profiles: "abc.Sequence[JobProfile]",
+        rng: random.Random,
+        reconnect_rng: random.Random,
+    ) -> None:
         self._entries = entries
         self._profiles = profiles
         self._rng = rng
@@ -84,6 +92,8 @@
         self.records: dict[str, JobRecord] = {}
         self.crashing_share = 0.0  # of the new jobs
         self.crashing_jobs: set[ids.JobKey] = set()
+        self.reconnecting_share = 0.0  # of the callers that would wait
+        self._reconnect_rng = reconnect_rng
 
     async def submit_forever(self, session: aiohttp.ClientSession, per_second: float) -> None:
         """Submit jobs until cancelled."""
@@ -94,6 +104,8 @@
             )[0]
             record = JobRecord(f"{self._rng.getrandbits(64):016x}", self._rng.choice(self._profiles), "", action)
             record.payload = f"payload of {record.job}"
+            if action is CallerAction.WAIT and self._reconnect_rng.random() < self.reconnecting_share:
+                record.action = CallerAction.RECONNECT
             self.records[record.job] = record
             if self.crashing_share and self._rng.random() < self.crashing_share:
                 record.crashes_workers = True
@@ -121,11 +133,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + record.profile.deadline_s
         while True:
-            attempt = Attempt(self._rng.choice(sorted(self.ready)), loop.time())
+            attempt = Attempt(self._choose_entry(record), loop.time())
             record.attempts.append(attempt)
-            disconnects_after_s = (
-                self._rng.uniform(0, record.profile.run_s) if record.action is CallerAction.DISCONNECT else None
-            )
+            disconnects_after_s = self._disconnects_after_s(record)
             cancel = None
             if record.action is CallerAction.CANCEL and len(record.attempts) == 1:
                 cancel = asyncio.create_task(self._cancel(session, record))
@@ -136,7 +146,7 @@
             attempt.ended_at = loop.time()
             if cancel is not None:
                 await cancel
-            if disconnects_after_s is not None and attempt.status == 0:
+            if record.action is CallerAction.DISCONNECT and attempt.status == 0:
                 record.canceled_at = loop.time()
                 return
             if attempt.status not in (0, 502, 504) or record.canceled_at is not None:
@@ -146,6 +156,23 @@
                 return
             await asyncio.sleep(RESEND_DELAY_S)
 
+    def _choose_entry(self, record: JobRecord) -> str:
+        """Return the entry for the next attempt; a caller that reconnects often reaches its first entry again."""
+        entry = self._rng.choice(sorted(self.ready))
+        if record.action is CallerAction.RECONNECT and len(record.attempts) == 1:
+            first = record.attempts[0].entry
+            if first in self.ready and self._reconnect_rng.random() < 0.5:
+                return first
+        return entry
+
+    def _disconnects_after_s(self, record: JobRecord) -> float | None:
+        """Return when the caller closes the connection of its next attempt, or None if it waits for the answer."""
+        if record.action is CallerAction.DISCONNECT:
+            return self._rng.uniform(0, record.profile.run_s)
+        if record.action is CallerAction.RECONNECT and len(record.attempts) == 1:
+            return self._reconnect_rng.uniform(0, record.profile.run_s)
+        return None
+
     async def _post(
         self, session: aiohttp.ClientSession, record: JobRecord, attempt: Attempt, timeout_s: float
     ) -> tuple[int, str]:
@@ -165,6 +192,7 @@
         await asyncio.sleep(self._rng.uniform(0, record.profile.run_s))
         entry = self._rng.choice(sorted(self.ready))
         url = f"{self._entries[entry]}{record.profile.path}{record.job}"
+        record.is_cancel_sent = True
         status, _ = await request(session, "DELETE", url, None, 2.0)
         if status == 200:
             record.canceled_at = asyncio.get_running_loop().time()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -19,6 +19,7 @@
 SHRINK_GRACE_S = 3.5  # tasks may still start beyond a shrunk capacity within this time after it was acknowledged
 MAX_STARTS_OF_CRASHING_TASK = 5  # three crashes, and fewer than three starts after them
 MIN_CRASHES_TO_GIVE_UP = 2  # a job may be given up after this many crashes under one of its tasks
+ANSWER_STATES = ("succeeded", "failed")  # in the response to a submission
 OVERLAP_TOLERANCE_S = 0.002  # for clock readings of two observations in one process
 
 
@@ -46,6 +47,9 @@
             continue
         findings += _check_job(record, started)
     for job, record in records.items():
+        unreadable = [each.state for each in record.attempts if each.status == 200 and each.state not in ANSWER_STATES]
+        if unreadable:
+            findings.append(Finding("a caller can read its answer", f"job {job}: state {unreadable[0]!r}"))
         if record.state == "succeeded":
             done = {run.key.task for run in by_job[job] if run.kind is scheduling.EndKind.DONE}
             if len(done) != record.profile.tasks:
@@ -69,6 +73,7 @@
     may_be_given_up = bool(crashes) and max(crashes.values()) >= MIN_CRASHES_TO_GIVE_UP
     if (
         record.state == "failed"
+        and not record.is_cancel_sent
         and not may_be_given_up
         and not any(run.kind is scheduling.EndKind.FAILED for run in started)
     ):
@@ -157,13 +162,13 @@
 
 
 def check_recovery(records: "abc.Iterable[callers_module.JobRecord]", recovered_at: float) -> list[Finding]:
-    """Return a finding for each unsuccessful job that was submitted after the recovery and whose caller waited."""
+    """Return a finding for each unsuccessful job that was submitted after the recovery and whose caller wanted it."""
     return [
         Finding("everything works again after the recovery", f"job {record.job}: {record.attempts[-1]}")
         for record in records
         if record.attempts
         and record.attempts[0].sent_at > recovered_at
-        and record.action is callers_module.CallerAction.WAIT
+        and record.action in (callers_module.CallerAction.WAIT, callers_module.CallerAction.RECONNECT)
         and not record.crashes_workers
         and record.state != "succeeded"
     ]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,6 +30,7 @@
 PROBE_INTERVAL_S = 0.5
 CRASH_DOWN_S = 2.0  # of a worker that a job has crashed
 CRASHING_SHARE = 0.2  # of the jobs that arrive during the fault
+RECONNECTING_SHARE = 0.15  # of the callers that wait, in runs with added kinds of faults
 MAIN_PATH = "/jobs/"
 JOB_PROFILES = (
     callers.JobProfile(MAIN_PATH, 8, 1500, 0.12, 8.0),
@@ -90,7 +91,11 @@
         self._agents: list[process.SoakProcess] = []
         self._workers: list[worker.FakeWorker] = []
         entry_urls = {f"entry-{number}": self._front_url(number) for number in range(size.entries)}
-        self._callers = callers.Callers(entry_urls, JOB_PROFILES, self._rng)
+        # Callers that reconnect have a random stream of their own, so that the other draws of a seed are the same.
+        reconnect_rng = random.Random(f"{seed} reconnect")
+        self._callers = callers.Callers(entry_urls, JOB_PROFILES, self._rng, reconnect_rng)
+        if with_added_kinds:
+            self._callers.reconnecting_share = RECONNECTING_SHARE
 
     async def run(self) -> Result:
         """Run the processes under the scheduled faults and return the result."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -65,6 +65,21 @@
     assert observed.broken_promises() == ["what is refused has not run"]
 
 
+@pytest.mark.parametrize("state", ["canceled", ""])
+async def test_answer_without_a_state_of_the_protocol(observed: ObservedJob, state: str) -> None:
+    """Guards against a check that misses an answer that its caller cannot read."""
+    observed.attempt.state = state
+    assert observed.broken_promises() == ["a caller can read its answer"]
+
+
+async def test_failure_of_a_job_that_nobody_canceled(observed: ObservedJob) -> None:
+    """Guards against a check that misses a failure without a cause, which a cancellation is."""
+    observed.attempt.state = "failed"
+    assert observed.broken_promises() == ["a job fails only by its tasks"]
+    observed.record.is_cancel_sent = True
+    assert observed.broken_promises() == []
+
+
 async def test_refusal_after_an_attempt_without_an_answer(observed: ObservedJob) -> None:
     """Guards against a false finding: an earlier attempt without an answer may have run the job."""
     observed.record.attempts = [callers.Attempt("entry-0", 0.0), callers.Attempt("entry-1", 1.0, 1.1, 503)]
