Repeat stops that were lost with a link to an agent

Cause: an order that is sent once over a link that can break. A stop that was requested while the link to the agent was down, or that was in flight when it broke, was never sent again, and the next link's grants kept the run alive.

--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -136,6 +136,11 @@
         """Return the runs that this entry assumes to be on an agent's worker."""
         return list(self._running.get(agent, {}))
 
+    def unwanted_runs(self, agent: ids.AgentName, held: "collections_abc.Iterable[ids.RunKey]") -> list[ids.RunKey]:
+        """Return the runs held by an agent that this entry does not know, has stopped, or whose job has ended."""
+        known = self._running.get(agent, {})
+        return [run for run in held if not self._is_wanted(known.get(run))]
+
     def has_runs_on_agent(self, agent: ids.AgentName) -> bool:
         """Return whether this entry assumes that it has runs on an agent's worker."""
         return bool(self._running.get(agent))
@@ -193,6 +198,9 @@
             self._apply_end(agent, task, end, now)
         self._output.request_dispatch()
 
+    def _is_wanted(self, task: parallel_job.ParallelTask | None) -> bool:
+        return task is not None and not task.is_stopping and self._jobs.get(task.job.key) is task.job
+
     def _apply_end(
         self, agent: ids.AgentName, task: parallel_job.ParallelTask, end: run_end.RunEnd, now: float
     ) -> None:
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -48,6 +48,28 @@
         await conftest.until(lambda: not agent.worker.running, 0.5)
 
 
+@pytest.mark.parametrize("is_link_down", [False, True], ids=["lost with the link", "requested without a link"])
+async def test_stop_that_was_lost_with_a_link_is_repeated_on_the_next_one(is_link_down: bool) -> None:
+    """Guards against a run that goes on beside a new one, as its stop was lost and its grant is renewed."""
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    agent.duration_s = 30.0
+    disconnected = asyncio.Event()
+    async with conftest.running(entry, agent):
+        await conftest.until(lambda: entry.link_server.has_workers)
+        submitting = asyncio.create_task(entry.submit("j", disconnected=disconnected))
+        await conftest.until(lambda: len(agent.worker.running) == 1)
+        (peer,) = entry.link_server._peers.values()
+        assert peer.link is not None
+        peer.link.abort()
+        if is_link_down:
+            await conftest.until(lambda: peer.link is None)
+        disconnected.set()
+        assert await submitting is None
+        # A caller that lost its connection sends its job to another entry after this time.
+        await conftest.until(lambda: not agent.worker.running, 1.3)
+
+
 async def test_job_of_a_lost_entry_runs_once_at_a_time_at_another_one() -> None:
     """Guards against two simultaneous runs of a task when a caller sends the job of a lost entry to another entry."""
     lost = conftest.Entry("e1", [])
