Store cancellations in a log that all entries follow

Cause: a best-effort broadcast answered as if it were certain. It went over the agents that two entries share, once, and no entry kept it.

Change: a cancellation is written to a topic of the store, and acknowledged only once it is stored (503 with Retry-After otherwise). The broadcast stays for entries that can't reach the store.

--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -25,6 +25,7 @@
 # Between scheduler ticks; a small part of the time within which a refusal should reach its caller.
 TICK_INTERVAL_S = 0.025
 ANNOUNCE_INTERVAL_S = 1.0
+CANCELED_ELSEWHERE = "canceled_at_other_entry"
 MAX_SEEDS = 3  # the platform lists at most this many
 DIAL_TIMEOUT_S = 1.0
 MAX_CLOSED_ACCOUNTS = 500  # agent restarts of a week at the target size; older ones are recorded in the store
@@ -49,6 +50,7 @@
         journal: "observability.Journal",
         build_scheduler: SchedulerBuilder,
         on_job_ended: "abc.Callable[[scheduling.ParallelJob, scheduling.JobResult, str, int], None]",
+        on_job_canceled: "abc.Callable[[ids.JobKey, str], object]",
     ) -> None:
         self.incarnation = ids.new_entry_incarnation()
         self._name = name
@@ -59,6 +61,7 @@
         self._counters = counters
         self._journal = journal
         self._on_job_ended = on_job_ended
+        self._on_job_canceled = on_job_canceled
         self._codec = wire.TupleCodec(messages.MESSAGE_TYPES)
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
@@ -103,7 +106,7 @@
                 group.create_task(background.keep_running("announce", announce, self._journal.log_event))
 
     def broadcast_cancel(self, job: ids.JobKey) -> None:
-        """Ask all agents to cancel a job that another entry may have."""
+        """Tell other entries, through the agents, that a job is cancelled; those that can't reach the store too."""
         for peer in self._peers.values():
             if peer.link is not None:
                 peer.link.post(messages.CancelJob(job))
@@ -275,7 +278,7 @@
             if peer.link is not None:
                 self._exchange.request_if_newer(peer.link, message.config_version)
         elif isinstance(message, messages.CancelJob):
-            self._scheduler.cancel(message.job, scheduling.JobResult.CANCELED, "canceled_at_other_entry")
+            self._on_job_canceled(message.job, CANCELED_ELSEWHERE)
         elif isinstance(message, scheduling.WorkerCrash):
             self._handle_crash(peer, message, now)
         elif isinstance(message, messages.DocumentRequest):
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -12,6 +12,8 @@
     from cactusgauge import observability
 
 ENTRY_STOPPING = "entry_stopping"
+CANCELED = "canceled"
+MAX_CANCELLATIONS = 10_000  # of jobs that this entry does not have; about 1 MB
 MAX_KEPT_ANSWERS = 2_000  # of recently ended jobs, for callers that send a job again after a lost answer
 # A stopping entry accepts a job only if this multiple of its expected duration is left before the entry ends. A job
 # that takes longer is ended early, and its caller has to send it again.
@@ -50,6 +52,8 @@
         self._journal = journal
         self._waiting: dict[ids.JobKey, list[asyncio.Future[JobAnswer]]] = {}
         self._answers: collections.OrderedDict[ids.JobKey, JobAnswer] = collections.OrderedDict()
+        # Cancelled jobs that this entry did not have, in case they are submitted later.
+        self._cancellations: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
         self._scheduler: scheduling.RunScheduler | None = None
         self._ends_by = float("inf")
 
@@ -75,6 +79,9 @@
         if known is not None:
             self._journal.log_event("job_known", job=new.key, result=known.result.value)
             return known
+        if new.key in self._cancellations:
+            self._journal.log_event("job_canceled_before", job=new.key)
+            return JobAnswer(scheduling.JobResult.CANCELED, CANCELED, 0)
         if new.key not in self._waiting:
             refusal = self._open(new, self._scheduler)
             if refusal is not None:
@@ -127,10 +134,16 @@
             if not future.done():
                 future.set_result(answer)
 
-    def cancel(self, key: ids.JobKey) -> bool:
-        """Cancel a job at its caller's request; return whether this entry had it."""
+    def cancel(self, key: ids.JobKey, reason: str = CANCELED) -> bool:
+        """Cancel a job at its caller's request, also one that arrives later; return whether this entry had it."""
         assert self._scheduler is not None
-        return self._scheduler.cancel(key, scheduling.JobResult.CANCELED, "canceled")
+        if self._scheduler.cancel(key, scheduling.JobResult.CANCELED, reason):
+            return True
+        if key not in self._answers:
+            self._cancellations[key] = None
+            if len(self._cancellations) > MAX_CANCELLATIONS:
+                self._cancellations.popitem(last=False)
+        return False
 
     def answer(self, key: ids.JobKey) -> JobAnswer | None:
         """Return the answer to a job that ended recently with a final result."""
--- a/src/cactusgauge/fleet/stores.py
+++ b/src/cactusgauge/fleet/stores.py
@@ -1,9 +1,9 @@
-"""Interfaces of the platform's store for the configuration and for the addresses of entries."""
+"""Interfaces of the platform's store for the configuration, cancellations and the addresses of entries."""
 
 import abc
 from typing import NamedTuple
 
-from cactusgauge import exceptions
+from cactusgauge import exceptions, ids
 
 
 class StoreUnavailableError(exceptions.CactusgaugeError):
@@ -40,6 +40,28 @@
         """Return the configurations after a cursor; wait up to `wait_s` for the first one."""
 
 
+class CancellationBatch(NamedTuple):
+    """Jobs that were cancelled after a cursor, oldest first, and the next cursor."""
+
+    jobs: list[ids.JobKey]
+    cursor: int
+
+
+class CancellationLog(abc.ABC):
+    """The cancellations of the last minutes, in an order that all entries see."""
+
+    @abc.abstractmethod
+    async def record(self, job: ids.JobKey) -> None:
+        """Store the cancellation of a job; raise `StoreUnavailableError` if it may not be stored."""
+
+    @abc.abstractmethod
+    async def read(self, cursor: int, wait_s: float) -> CancellationBatch:
+        """Return the cancellations after a cursor; wait up to `wait_s` for the first one.
+
+        A cursor before the first retained cancellation is moved forward to it.
+        """
+
+
 class EntryRecord(NamedTuple):
     """The link URL of an entry; `revision` increases each time it is published."""
 
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -11,6 +11,7 @@
 
 DEFAULT_DEADLINE_S = 30.0  # for requests without a deadline header; a job is also canceled when its caller disconnects
 NO_CONFIG_RETRY_AFTER_S = 1
+CANCELLATION_RETRY_AFTER_S = 1
 
 STATE_NAMES = {
     scheduling.JobResult.SUCCEEDED: "succeeded",
@@ -29,12 +30,14 @@
         job_service: fleet.ParallelJobService,
         cache: fleet.ConfigCache,
         entry: fleet.EntryLinkServer,
+        cancellations: fleet.CancellationLog,
         counters: "observability.Counters",
         journal: "observability.Journal",
     ) -> None:
         self._job_service = job_service
         self._cache = cache
         self._entry = entry
+        self._cancellations = cancellations
         self._counters = counters
         self._journal = journal
         self.is_draining = False
@@ -127,12 +130,18 @@
             await self._respond(send, 410, {})
 
     async def _delete(self, send: asgi.Send, key: ids.JobKey) -> None:
-        if self._job_service.cancel(key):
-            await self._respond(send, 200, {})
+        """Cancel a job wherever it is; acknowledge it only once all entries that can reach the store will learn it."""
+        was_open = self._job_service.cancel(key)
+        if not was_open:
+            self._entry.broadcast_cancel(key)
+        try:
+            await self._cancellations.record(key)
+        except fleet.StoreUnavailableError as error:
+            self._journal.log_event("cancellation_not_stored", job=key, reason=str(error))
+            await self._respond(send, 503, {"code": error.code}, CANCELLATION_RETRY_AFTER_S)
             return
-        # Another entry may have the job, so all agents are asked to cancel it; no reply is awaited.
-        self._entry.broadcast_cancel(key)
-        await self._respond(send, 410, {})
+        self._journal.log_event("cancellation_stored", job=key, was_open=was_open)
+        await self._respond(send, 200 if was_open else 410, {})
 
     @staticmethod
     async def _wait_for_disconnect(receive: asgi.Receive) -> None:
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -24,6 +24,7 @@
     node_settings,
     settings_watcher,
     store,
+    store_cancellations,
     store_log,
 )
 
@@ -118,9 +119,11 @@
             node.journal,
             fleet.scheduler_builder(settings.distant_data_factor),
             job_service.finish,
+            job_service.cancel,
         )
         job_service.attach(entry.scheduler)
-        app = job_app.JobApp(job_service, node.cache, entry, node.counters, node.journal)
+        cancellations = store_cancellations.StoreCancellations(node.store)
+        app = job_app.JobApp(job_service, node.cache, entry, cancellations, node.counters, node.journal)
         readiness = job_app.ReadinessApp(app, node.counters)
         link = link_listen or node_settings.Address(f"{settings.host}:{settings.link_port}")
         server = node.create_server("front", app, 60)
@@ -128,12 +131,18 @@
         if settings.listen_address("control") is not None:
             other_servers.append(node.create_server("control", readiness, 60))
         follower = fleet.ConfigFollower(node.store, node.cache, node.journal.record_state)
+        cancellation_follower = fleet.CancellationFollower(
+            cancellations,
+            lambda job: job_service.cancel(job, fleet.CANCELED_ELSEWHERE),
+            node.journal.record_state,
+        )
         node.journal.record_state("entry_started", incarnation=entry.incarnation, link_url=settings.link_url)
         async with (
             node.account_writer("entry", entry.incarnation, entry.take_accounts),
             node.run_in_background(
                 entry.run(link.host, link.port),
                 background.keep_running("configuration", follower.run, node.journal.log_event),
+                background.keep_running("cancellations", cancellation_follower.run, node.journal.log_event),
                 background.keep_running("publish", functools.partial(_publish_forever, node), node.journal.log_event),
                 *(each.run_until_stopped() for each in other_servers),
             ),
--- a/src/cactusgauge/platform/store.py
+++ b/src/cactusgauge/platform/store.py
@@ -34,18 +34,9 @@
 
     async def changes(self, cursor: int, wait_s: float) -> fleet.ConfigBatch:
         """Return the configurations after a cursor, waiting up to `wait_s` for one."""
-        query = {
-            "topic": CONFIG_TOPIC,
-            "part": "0",
-            "from": str(cursor),
-            "max_kb": str(MAX_READ_KB),
-            "wait_ms": str(int(wait_s * 1000)),
-        }
-        status, content = await self._call("GET", "/-/log-read", query, None, wait_s + WAIT_TIMEOUT_MARGIN_S)
+        status, content = await self._read(CONFIG_TOPIC, cursor, wait_s)
         if status == 410:
             raise fleet.CursorLostError(f"records from offset {cursor} are no longer retained")
-        if status != 200:
-            raise fleet.StoreUnavailableError(f"store returned status {status} for a read")
         records = _split_records(content)
         bodies = [value for key, value in map(_split_key, records) if key == CONFIG_KEY and value]
         return fleet.ConfigBatch(bodies, cursor + len(records))
@@ -57,17 +48,25 @@
     async def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record with a key of at most 255 bytes and return its offset."""
         name = key.encode()
-        record = bytes([len(name)]) + name + value
+        return await self.append(topic, bytes([len(name)]) + name + value)
+
+    async def append(self, topic: str, record: bytes) -> int:
+        """Append a record to a topic without keys, which keeps it for some minutes, and return its offset."""
         query = {"topic": topic, "part": "0"}
         status, content = await self._call(
             "POST", "/-/log-append", query, RECORD_LENGTH.pack(len(record)) + record, CALL_TIMEOUT_S
         )
         if status != 200:
             raise fleet.StoreUnavailableError(f"store returned status {status} for an append")
-        try:
-            return int(json.loads(content)["offset"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise fleet.StoreUnavailableError("store returned an invalid response to an append") from error
+        return _decode_offset(content, "offset")
+
+    async def records_after(self, topic: str, cursor: int, wait_s: float) -> tuple[list[bytes], int]:
+        """Return the retained records from a cursor on and the next cursor; wait up to `wait_s` for the first one."""
+        status, content = await self._read(topic, cursor, wait_s)
+        if status == 410:
+            return [], _decode_offset(content, "first")
+        records = _split_records(content)
+        return records, cursor + len(records)
 
     async def newest_values(self, topic: str) -> list[tuple[int, bytes]]:
         """Return the offset and value of the newest record of each key."""
@@ -79,6 +78,20 @@
         items, _ = await self._newest_records(ENTRY_TOPIC)
         return [fleet.EntryRecord(key, offset) for key, offset, _ in items]
 
+    async def _read(self, topic: str, cursor: int, wait_s: float) -> tuple[int, bytes]:
+        """Return status and content of a read; the status is 200, or 410 if the records are no longer retained."""
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(cursor),
+            "max_kb": str(MAX_READ_KB),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        status, content = await self._call("GET", "/-/log-read", query, None, wait_s + WAIT_TIMEOUT_MARGIN_S)
+        if status not in (200, 410):
+            raise fleet.StoreUnavailableError(f"store returned status {status} for a read")
+        return status, content
+
     async def _newest_records(self, topic: str) -> tuple[list[tuple[str, int, bytes]], int]:
         """Return key, offset and value of the newest record of each key, and the end offset of the topic."""
         items: list[tuple[str, int, bytes]] = []
@@ -135,6 +148,14 @@
         return None
 
 
+def _decode_offset(content: bytes, field: str) -> int:
+    """Return an offset in a response."""
+    try:
+        return int(json.loads(content)[field])
+    except (ValueError, KeyError, TypeError) as error:
+        raise fleet.StoreUnavailableError(f"store returned an invalid response without {field}") from error
+
+
 def _split_records(content: bytes) -> list[bytes]:
     """Return the records in a read reply: a header, then the length and the bytes of each record."""
     records = []
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -55,6 +55,31 @@
         return self.records
 
 
+class MemoryCancellations(fleet.CancellationLog):
+    """Keeps cancellations in memory, and drops those before `first` as the store drops old records."""
+
+    def __init__(self) -> None:
+        self.jobs: list[ids.JobKey] = []
+        self.first = 0
+        self.is_available = True
+
+    async def record(self, job: ids.JobKey) -> None:
+        """Store a cancellation."""
+        if not self.is_available:
+            raise fleet.StoreUnavailableError("store returned status 503 for an append")
+        self.jobs.append(job)
+
+    async def read(self, cursor: int, wait_s: float) -> fleet.CancellationBatch:
+        """Return the cancellations after a cursor, waiting for one."""
+        deadline = asyncio.get_running_loop().time() + wait_s
+        while self.is_available and len(self.jobs) <= cursor and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(0.01)
+        if not self.is_available:
+            raise fleet.StoreUnavailableError("store returned status 503 for a read")
+        start = max(cursor, self.first)
+        return fleet.CancellationBatch(self.jobs[start:], max(start, len(self.jobs)))
+
+
 class Entry:
     """An entry with its job service."""
 
@@ -75,6 +100,7 @@
             self.journal,
             fleet.scheduler_builder(1.5),
             self.job_service.finish,
+            self.job_service.cancel,
         )
         self.job_service.attach(self.link_server.scheduler)
 
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -2,6 +2,7 @@
 import collections
 import contextlib
 import json
+import operator
 from typing import TYPE_CHECKING, Any
 
 from cactusgauge.platform import config_document, job_app
@@ -26,11 +27,15 @@
 class _Setup:
     """An entry with its job application, called without HTTP."""
 
-    def __init__(self, entry: fleet_conftest.Entry, agent: fleet_conftest.Agent) -> None:
+    def __init__(self, entry: fleet_conftest.Entry, agent: fleet_conftest.Agent, *others: fleet_conftest.Agent) -> None:
         self.entry = entry
         self.agent = agent
+        self.agents = [agent, *others]
+        self.cancellations = fleet_conftest.MemoryCancellations()
         entry.cache._decode = config_document.decode
-        self.app = job_app.JobApp(entry.job_service, entry.cache, entry.link_server, entry.counters, entry.journal)
+        self.app = job_app.JobApp(
+            entry.job_service, entry.cache, entry.link_server, self.cancellations, entry.counters, entry.journal
+        )
 
     def configure(self, version: int = 1, **limits: int) -> None:
         """Apply a configuration with one route."""
@@ -68,12 +73,25 @@
 
 
 @contextlib.asynccontextmanager
-async def _running_app() -> "abc.AsyncIterator[_Setup]":
+async def _running_app(*other_agents: str) -> "abc.AsyncIterator[_Setup]":
     entry = fleet_conftest.Entry("e", [])
-    agent = fleet_conftest.Agent("a", [entry.url])
-    async with fleet_conftest.running(entry, agent):
-        await fleet_conftest.until(lambda: entry.link_server.has_workers)
-        yield _Setup(entry, agent)
+    agents = [fleet_conftest.Agent(name, [entry.url]) for name in ("a", *other_agents)]
+    async with fleet_conftest.running(entry, *agents):
+        await fleet_conftest.until(lambda: sum(view.accepts_runs for view in entry.link_server.workers) == len(agents))
+        yield _Setup(entry, *agents)
+
+
+async def _lose_caller(setup: _Setup, body: object) -> None:
+    """Submit a job of two tasks, and break its caller's connection once both run."""
+    for agent in setup.agents:
+        agent.duration_s = 20.0
+    disconnected = asyncio.Event()
+    calling = asyncio.create_task(setup.call("POST", f"/q/{JOB}", body, disconnected))
+    await fleet_conftest.until(lambda: sum(len(agent.worker.running) for agent in setup.agents) == 2)
+    disconnected.set()
+    assert await calling is None
+    for agent in setup.agents:
+        agent.duration_s = 0.1
 
 
 async def test_requests_before_and_after_a_configuration() -> None:
@@ -156,27 +174,56 @@
 
 
 async def test_job_sent_again_after_a_broken_connection_is_run_and_answered() -> None:
-    """Guards against an answer that nobody can read: a state that stands for the end of the first connection."""
-    async with _running_app() as setup:
+    """Guards against an answer that nobody can read: a state that stands for the end of the first connection.
+
+    With two workers, each task could start on one while its earlier run is still being stopped on the other.
+    """
+    async with _running_app("b") as setup:
         setup.configure()
-        setup.agent.duration_s = 20.0
-        disconnected = asyncio.Event()
-        calling = asyncio.create_task(setup.call("POST", f"/q/{JOB}", BODY, disconnected))
-        await fleet_conftest.until(lambda: len(setup.agent.worker.running) == 2)
-        disconnected.set()
-        assert await calling is None
+        await _lose_caller(setup, BODY)
         unknown = await setup.call("GET", f"/q/{JOB}")
         assert unknown is not None and unknown[0] == 410
-        setup.agent.duration_s = 0.1
         again = await setup.call("POST", f"/q/{JOB}", BODY)
     assert again is not None and again[:2] == (200, {"state": "succeeded"})
     _assert_one_run_at_a_time(setup)
 
 
+async def test_job_canceled_after_its_connection_broke_is_not_run_again() -> None:
+    """Guards against a run after the acknowledgement of a cancellation that reached an entry without the job."""
+    async with _running_app() as setup:
+        setup.configure()
+        await _lose_caller(setup, BODY)
+        starts = len(setup.agent.worker.starts)
+        deleted = await setup.call("DELETE", f"/q/{JOB}")
+        assert deleted is not None and deleted[0] == 410
+        again = await setup.call("POST", f"/q/{JOB}", BODY)
+        assert again is not None and again[:2] == (200, {"state": "failed"})
+        unknown = await setup.call("GET", f"/q/{JOB}")
+        assert unknown is not None and unknown[0] == 410
+    assert len(setup.agent.worker.starts) == starts
+
+
+async def test_cancellation_that_is_not_stored_is_not_acknowledged() -> None:
+    """Guards against the acknowledgement of a cancellation that the entry with the job never learns."""
+    async with _running_app() as setup:
+        setup.configure()
+        setup.cancellations.is_available = False
+        refused = await setup.call("DELETE", f"/q/{JOB}")
+        assert refused is not None and refused[:2] == (503, {"code": "store_unavailable"})
+        assert refused[2][b"retry-after"] == b"1"
+        setup.cancellations.is_available = True
+        deleted = await setup.call("DELETE", f"/q/{JOB}")
+    assert deleted is not None and deleted[0] == 410
+    assert setup.cancellations.jobs == [JOB]
+
+
 def _assert_one_run_at_a_time(setup: _Setup) -> None:
     """Check that each task of BODY was started twice, the second time after its first run had ended."""
     runs_of_task = collections.defaultdict(list)
-    for run in setup.agent.worker.history:
+    history = sorted(
+        (run for agent in setup.agents for run in agent.worker.history), key=operator.attrgetter("started_at")
+    )
+    for run in history:
         runs_of_task[run.key.task].append(run)
     assert [len(each) for each in runs_of_task.values()] == [2, 2]
     for first, second in runs_of_task.values():
