Do not report a job as not run after an earlier attempt has started it

Cause: a refusal looks at the tasks of the new attempt only, as the one before: what is true of an attempt is told of the job.

Change: an entry remembers the jobs that it gave up after a start. Such a job is answered 504 with Retry-After instead of 503; a job that was given up before any start still gets 503. An attempt whose caller left before any start counts as not run. `JobResult` has a module of its own, as the job now names its own result.

Evidence: test_job_that_was_started_before_is_not_refused_as_not_run fails before (503 instead of 504). An entry can't know of attempts at other entries.

--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -14,6 +14,7 @@
 ENTRY_STOPPING = "entry_stopping"
 CANCELED = "canceled"
 MAX_CANCELLATIONS = 10_000  # of jobs that this entry does not have; about 1 MB
+MAX_UNFINISHED_JOBS = 2_000  # whose callers may send them again
 MAX_KEPT_ANSWERS = 2_000  # of recently ended jobs, for callers that send a job again after a lost answer
 # A stopping entry accepts a job only if this multiple of its expected duration is left before the entry ends. A job
 # that takes longer is ended early, and its caller has to send it again.
@@ -44,7 +45,7 @@
 
     A job sent again while it is open gets the same answer, and one that ended recently with a final result is not run
     again. A job whose callers have all disconnected is given up, so that its workers are free for others; if it is sent
-    again, it runs from the start.
+    again, it runs from the start. It is then never reported as not run, as an earlier attempt has started tasks.
     """
 
     def __init__(self, counters: "observability.Counters", journal: "observability.Journal") -> None:
@@ -54,6 +55,7 @@
         self._answers: collections.OrderedDict[ids.JobKey, JobAnswer] = collections.OrderedDict()
         # Cancelled jobs that this entry did not have, in case they are submitted later.
         self._cancellations: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
+        self._unfinished_jobs: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
         self._scheduler: scheduling.RunScheduler | None = None
         self._ends_by = float("inf")
 
@@ -85,7 +87,8 @@
         if new.key not in self._waiting:
             refusal = self._open(new, self._scheduler)
             if refusal is not None:
-                return JobAnswer(scheduling.JobResult.NOT_RUN, refusal.code, refusal.retry_after_s)
+                result = self._correct_result(new.key, scheduling.JobResult.NOT_RUN)
+                return JobAnswer(result, refusal.code, refusal.retry_after_s)
         future: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
         self._waiting.setdefault(new.key, []).append(future)
         # The job may have ended while it was submitted, before this future was there to get its answer.
@@ -98,6 +101,7 @@
         self, job: scheduling.ParallelJob, result: scheduling.JobResult, reason: str, retry_after_s: int
     ) -> None:
         """Answer the callers of a job."""
+        result = self._correct_result(job.key, result)
         objective_s = job.objective_at - job.arrived_at
         age_s = asyncio.get_running_loop().time() - job.arrived_at
         self._counters.add("jobs_ended", job.policy.queue, reason or result.value)
@@ -130,6 +134,10 @@
             self._answers[job.key] = answer
             if len(self._answers) > MAX_KEPT_ANSWERS:
                 self._answers.popitem(last=False)
+        elif result is scheduling.JobResult.UNFINISHED:
+            self._unfinished_jobs[job.key] = None
+            if len(self._unfinished_jobs) > MAX_UNFINISHED_JOBS:
+                self._unfinished_jobs.popitem(last=False)
         for future in self._waiting.pop(job.key, []):
             if not future.done():
                 future.set_result(answer)
@@ -153,6 +161,12 @@
         """Return whether this entry has a job that has not ended."""
         return key in self._waiting
 
+    def _correct_result(self, key: ids.JobKey, result: scheduling.JobResult) -> scheduling.JobResult:
+        """Return the result of an attempt, in view of the earlier ones."""
+        if result is scheduling.JobResult.NOT_RUN and key in self._unfinished_jobs:
+            return scheduling.JobResult.UNFINISHED
+        return result
+
     def _open(self, new: NewJob, scheduler: scheduling.RunScheduler) -> scheduling.Refusal | None:
         now = asyncio.get_running_loop().time()
         job = scheduling.ParallelJob(new.key, new.policy, new.steps, new.payload, now, new.deadline, ids.TaskKey)
@@ -193,5 +207,7 @@
                 waiting.remove(future)
                 if not waiting:
                     self._waiting.pop(key)
-                    self._scheduler.cancel(key, scheduling.JobResult.UNFINISHED, "caller_left")
+                    job = self._scheduler.get_job(key)
+                    if job is not None:
+                        self._scheduler.cancel(key, job.result_if_given_up, "caller_left")
         return future.result() if future.done() else None
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -115,7 +115,7 @@
         if answer.result is scheduling.JobResult.NOT_RUN:
             await self._respond(send, 503, {"code": answer.reason}, answer.retry_after_s)
         elif answer.result is scheduling.JobResult.UNFINISHED:
-            await self._respond(send, 504, {"code": answer.reason})
+            await self._respond(send, 504, {"code": answer.reason}, answer.retry_after_s)
         else:
             await self._respond(send, 200, {"state": SUBMISSION_STATE_NAMES[answer.result]})
 
--- a/src/cactusgauge/scheduling/__init__.py
+++ b/src/cactusgauge/scheduling/__init__.py
@@ -5,13 +5,14 @@
 from cactusgauge.scheduling.duration_estimator import DurationEstimator
 from cactusgauge.scheduling.fleet_state import FleetState
 from cactusgauge.scheduling.job_order import ArrivalOrder, JobOrder, UrgencyOrder
+from cactusgauge.scheduling.job_result import JobResult
 from cactusgauge.scheduling.late_job_policy import DropLateJobs, KeepLateJobsDuringRecovery, LateJobPolicy
 from cactusgauge.scheduling.parallel_job import ParallelJob, ParallelTask, TaskPhase
 from cactusgauge.scheduling.queue_policy import QueuePolicy
 from cactusgauge.scheduling.resources import Resources
 from cactusgauge.scheduling.run_end import EndKind, RunEnd
 from cactusgauge.scheduling.run_placement import MostFreePlacement, ObjectivePlacement, RunPlacement
-from cactusgauge.scheduling.run_scheduler import JobResult, RunScheduler, SchedulerOutput
+from cactusgauge.scheduling.run_scheduler import RunScheduler, SchedulerOutput
 from cactusgauge.scheduling.step import Step
 from cactusgauge.scheduling.worker_report import WorkerPhase, WorkerReport
 from cactusgauge.scheduling.worker_view import WorkerView
--- a/src/cactusgauge/scheduling/parallel_job.py
+++ b/src/cactusgauge/scheduling/parallel_job.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from cactusgauge import ids
+from cactusgauge.scheduling import job_result
 
 if TYPE_CHECKING:
     from collections import abc
@@ -136,6 +137,11 @@
         for tasks in self.tasks:
             yield from tasks
 
+    @property
+    def result_if_given_up(self) -> job_result.JobResult:
+        """The result if the job is ended now without an outcome."""
+        return job_result.JobResult.UNFINISHED if self.has_started else job_result.JobResult.NOT_RUN
+
     def set_objective(self, critical_path_s: float) -> None:
         """Set the latency objective from the expected duration of the critical path."""
         self.objective_at = self.arrived_at + self.policy.objective_s(critical_path_s)
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -1,7 +1,6 @@
 """Queueing, placement and refusal of jobs at one entry, without I/O."""
 
 import abc
-import enum
 from typing import TYPE_CHECKING
 
 from cactusgauge import ids
@@ -12,6 +11,7 @@
     duration_estimator,
     fleet_state,
     job_order,
+    job_result,
     late_job_policy,
     parallel_job,
     run_end,
@@ -44,21 +44,6 @@
 CRASHES_WORKERS = "crashes_workers"  # reason for which a job fails if workers crash under one of its tasks
 
 
-class JobResult(enum.Enum):
-    """How the scheduling of a job ended."""
-
-    SUCCEEDED = "succeeded"
-    FAILED = "failed"  # a task has failed too often or crashes its workers
-    CANCELED = "canceled"  # at a caller's request
-    NOT_RUN = "not_run"  # none of its tasks has started or will start
-    UNFINISHED = "unfinished"  # given up before its outcome was known; some of its tasks may have run
-
-    @property
-    def is_final(self) -> bool:
-        """Whether the job must not run again if its caller sends it again."""
-        return self in (JobResult.SUCCEEDED, JobResult.FAILED, JobResult.CANCELED)
-
-
 class SchedulerOutput(abc.ABC):
     """Receives the actions of a scheduler: starts, stops, results of jobs and log events."""
 
@@ -71,7 +56,9 @@
         """Tell an agent to stop runs."""
 
     @abc.abstractmethod
-    def finish(self, job: parallel_job.ParallelJob, result: JobResult, reason: str, retry_after_s: int) -> None:
+    def finish(
+        self, job: parallel_job.ParallelJob, result: job_result.JobResult, reason: str, retry_after_s: int
+    ) -> None:
         """Send the result of a job to its callers; `retry_after_s` is 0 unless they should retry after a delay."""
 
     @abc.abstractmethod
@@ -157,7 +144,7 @@
         """Accept a job or return its refusal; a refused job never runs."""
         if self._crash_ledger.is_at_limit(job.key):  # its caller has sent it before, to this or another entry
             self._jobs[job.key] = job
-            self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
+            self._finish(job, job_result.JobResult.FAILED, CRASHES_WORKERS)
             return None
         refusal = self._check_admission(job, now)
         if refusal is not None:
@@ -166,7 +153,7 @@
         self._output.request_dispatch()
         return None
 
-    def cancel(self, key: ids.JobKey, result: JobResult, reason: str) -> bool:
+    def cancel(self, key: ids.JobKey, result: job_result.JobResult, reason: str) -> bool:
         """End a job and stop its runs; return whether the job was open."""
         job = self._jobs.get(key)
         if job is None:
@@ -187,7 +174,7 @@
     def cancel_all(self, reason: str) -> None:
         """End all jobs because the entry is stopping."""
         for job in list(self._jobs.values()):
-            self._finish(job, JobResult.UNFINISHED if job.has_started else JobResult.NOT_RUN, reason)
+            self._finish(job, job.result_if_given_up, reason)
 
     def end_run(self, agent: ids.AgentName, end: run_end.RunEnd, now: float) -> None:
         """Process the end of a run: complete, fail or requeue its task."""
@@ -224,7 +211,7 @@
             job = self._jobs.get(key)
             if job is not None and self._crash_ledger.is_at_limit(key):
                 job.record_decision(now, f"given up after a crash at {crash.agent}")
-                self._finish(job, JobResult.FAILED, CRASHES_WORKERS)
+                self._finish(job, job_result.JobResult.FAILED, CRASHES_WORKERS)
         return True
 
     def handle_agent_loss(self, agent: ids.AgentName, reason: str, now: float) -> None:
@@ -243,7 +230,7 @@
         self._last_tick_at = now
         for job in list(self._jobs.values()):
             if now >= job.deadline:
-                self._finish(job, JobResult.UNFINISHED if job.has_started else JobResult.NOT_RUN, "deadline")
+                self._finish(job, job.result_if_given_up, "deadline")
         self._drop_late_jobs(now)
         self._move_stragglers(now)
         self.dispatch(now)
@@ -362,7 +349,7 @@
         for unblocked in job.mark_done(task):
             unblocked.phase = parallel_job.TaskPhase.WAITING
         if job.open_count == 0:
-            self._finish(job, JobResult.SUCCEEDED, "")
+            self._finish(job, job_result.JobResult.SUCCEEDED, "")
 
     def _fail(self, agent: ids.AgentName, task: parallel_job.ParallelTask, end: run_end.RunEnd) -> None:
         job = task.job
@@ -375,7 +362,7 @@
         task.agent = None
         task.avoided_agents.add(agent)
         if task.failures >= job.policy.max_failures:
-            self._finish(job, JobResult.FAILED, "attempts_used")
+            self._finish(job, job_result.JobResult.FAILED, "attempts_used")
 
     def _requeue(self, agent: ids.AgentName, task: parallel_job.ParallelTask, end: run_end.RunEnd, now: float) -> None:
         task.phase = parallel_job.TaskPhase.WAITING
@@ -395,7 +382,9 @@
             age_ms=round((now - task.job.arrived_at) * 1000),
         )  # fmt: skip
 
-    def _finish(self, job: parallel_job.ParallelJob, result: JobResult, reason: str, retry_after_s: int = 0) -> None:
+    def _finish(
+        self, job: parallel_job.ParallelJob, result: job_result.JobResult, reason: str, retry_after_s: int = 0
+    ) -> None:
         del self._jobs[job.key]
         stops: dict[ids.AgentName, list[ids.RunKey]] = {}
         for task in job.all_tasks:
@@ -423,7 +412,7 @@
                 if service not in wait_s:
                     wait_s[service] = self._load(job, now).wait_s
                 retry_after_s = admission_policy.retry_after_s(wait_s[service], job.policy.priority)
-                self._finish(job, JobResult.NOT_RUN, "objective_lost", retry_after_s)
+                self._finish(job, job_result.JobResult.NOT_RUN, "objective_lost", retry_after_s)
 
     def _placeable_jobs_by_rank(self, now: float) -> list[parallel_job.ParallelJob]:
         """Return the jobs with waiting tasks that fit on some worker, most urgent first.
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -203,6 +203,19 @@
     assert len(setup.agent.worker.starts) == starts
 
 
+async def test_job_that_was_started_before_is_not_refused_as_not_run() -> None:
+    """Guards against a 503, which says that a job never runs, after an earlier attempt has started its tasks."""
+    async with _running_app() as setup:
+        setup.configure()
+        await _lose_caller(setup, BODY)
+        setup.entry.job_service.drain(asyncio.get_running_loop().time())
+        again = await setup.call("POST", f"/q/{JOB}", BODY)
+        assert again is not None and again[:2] == (504, {"code": "draining"})
+        assert again[2][b"retry-after"] == b"1"
+        other = await setup.call("POST", f"/q/{JOB[:-1]}9", BODY)
+    assert other is not None and other[:2] == (503, {"code": "draining"})
+
+
 async def test_cancellation_that_is_not_stored_is_not_acknowledged() -> None:
     """Guards against the acknowledgement of a cancellation that the entry with the job never learns."""
     async with _running_app() as setup:
