Keep a job until the latest deadline of the callers that wait for it

Cause: the deadline of a submission that joins an open job was ignored.

Change: the job's deadline is the latest one of its submissions.

Evidence: test_job_is_kept_for_the_caller_with_the_latest_deadline fails before (504 instead of 200).

--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -89,6 +89,8 @@
             if refusal is not None:
                 result = self._correct_result(new.key, scheduling.JobResult.NOT_RUN)
                 return JobAnswer(result, refusal.code, refusal.retry_after_s)
+        else:
+            self._extend_deadline(new, self._scheduler)
         future: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
         self._waiting.setdefault(new.key, []).append(future)
         # The job may have ended while it was submitted, before this future was there to get its answer.
@@ -167,6 +169,13 @@
             return scheduling.JobResult.UNFINISHED
         return result
 
+    @staticmethod
+    def _extend_deadline(new: NewJob, scheduler: scheduling.RunScheduler) -> None:
+        """Keep an open job for as long as the caller that has joined it waits."""
+        job = scheduler.get_job(new.key)
+        if job is not None:
+            job.deadline = max(job.deadline, new.deadline)
+
     def _open(self, new: NewJob, scheduler: scheduling.RunScheduler) -> scheduling.Refusal | None:
         now = asyncio.get_running_loop().time()
         job = scheduling.ParallelJob(new.key, new.policy, new.steps, new.payload, now, new.deadline, ids.TaskKey)
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -216,6 +216,18 @@
     assert other is not None and other[:2] == (503, {"code": "draining"})
 
 
+async def test_job_is_kept_for_the_caller_with_the_latest_deadline() -> None:
+    """Guards against ending a job at the deadline of a connection that has been replaced."""
+    async with _running_app() as setup:
+        setup.configure()
+        setup.agent.duration_s = 0.8
+        first = asyncio.create_task(setup.call("POST", f"/q/{JOB}", BODY, headers=((b"deadline-ms", b"300"),)))
+        await fleet_conftest.until(lambda: bool(setup.agent.worker.running))
+        second = await setup.call("POST", f"/q/{JOB}", BODY, headers=((b"deadline-ms", b"5000"),))
+        assert second is not None and second[:2] == (200, {"state": "succeeded"})
+        assert await first is not None
+
+
 async def test_cancellation_that_is_not_stored_is_not_acknowledged() -> None:
     """Guards against the acknowledgement of a cancellation that the entry with the job never learns."""
     async with _running_app() as setup:
