Check the dependencies of a job's steps only when a step is done

Every ended task looked at all tasks of all steps.

test_work_per_ended_task_does_not_grow_with_the_job failed before (1,015,000 reads of a phase instead of at most 250). tests/unit/scheduling: 45 passed.

--- a/src/cactusgauge/scheduling/parallel_job.py
+++ b/src/cactusgauge/scheduling/parallel_job.py
@@ -113,7 +113,8 @@
             [ParallelTask(self, number, index, task_key(key, number, index)) for index in range(each.task_count)]
             for number, each in enumerate(steps)
         ]
-        self._open_count = sum(each.task_count for each in steps)
+        self._open_counts = [each.task_count for each in steps]
+        self._open_count = sum(self._open_counts)
 
     @property
     def open_count(self) -> int:
@@ -162,6 +163,9 @@
         task.phase = TaskPhase.DONE
         task.agent = None
         self._open_count -= 1
+        self._open_counts[task.key.step] -= 1
+        if not self._is_step_done(task.key.step):
+            return []
         return [
             each
             for number, step_ in enumerate(self.steps)
@@ -171,4 +175,4 @@
         ]
 
     def _is_step_done(self, number: int) -> bool:
-        return all(task.phase is TaskPhase.DONE for task in self.tasks[number])
+        return self._open_counts[number] == 0
