Refuse jobs with values out of range before anything is built

One odd best-effort job harmed the other callers of its entry. What was seen on the old code, with an entry and an agent in one process: - "estimate_ms": 1e999 was run. Its end made the duration model of the queue NaN; a later job of that queue had no answer within the 4 s of the trial. - "spec": "\ud800" raised UnicodeEncodeError when the start was sent, so that the start was lost and the job had no answer within 4 s. - "cpu": 10**400 in the first second of an entry was accepted and had no answer within 4 s. - "count": 10**400 was decoded; the trial that submitted it did not end before it was stopped.

The limits are constants in job_body.py: the 4,000 bytes of a spec, 10,000 tasks, 1,000 steps and 10,000 dependencies of a job, 1,000 characters of a label, 1e9 ms of an estimate and 2**53 of an amount. A job beyond one of them is answered 400 with code and message. Repeated dependencies count once.

--- a/src/cactusgauge/platform/job_body.py
+++ b/src/cactusgauge/platform/job_body.py
@@ -1,13 +1,20 @@
 """Decodes job bodies and converts between run keys and the platform's task names."""
 
 import json
-from typing import Any
+from typing import Annotated, Any
 
 import pydantic
 
 from cactusgauge import exceptions, ids, scheduling
 
 JOB_ID_LENGTH = 16
+MAX_SPEC_BYTES = 4_000
+MAX_TASKS = 10_000  # of a job
+MAX_STEPS = 1_000  # of a job
+MAX_DEPENDENCIES = 10_000  # of all steps of a job; each end of a task checks them
+MAX_LABEL_LENGTH = 1_000  # characters
+MAX_ESTIMATE_MS = 1e9  # more than 11 days
+MAX_AMOUNT = 2**53  # largest integer that every JSON parser represents exactly
 OCCURRENCE_NUMBER = 0  # part of a task's name; always 0 because repeating jobs are not supported
 
 
@@ -25,16 +32,20 @@
     http_status = 503
 
 
+_Amount = Annotated[int, pydantic.Field(ge=0, le=MAX_AMOUNT)]
+_Label = Annotated[str, pydantic.Field(max_length=MAX_LABEL_LENGTH)]
+
+
 class _Step(pydantic.BaseModel):
-    count: int = pydantic.Field(default=1, ge=1)
-    cpu: int = pydantic.Field(default=0, ge=0)  # thousandths of a core
-    mem_mb: int = pydantic.Field(default=0, ge=0)
-    gpu: int = pydantic.Field(default=0, ge=0)
-    estimate_ms: float = pydantic.Field(default=0, ge=0)
-    depends_on: list[int] = []
-    required_label: str = ""
-    affinity: str = ""
-    anti_affinity: int = 0
+    count: int = pydantic.Field(default=1, ge=1, le=MAX_TASKS)
+    cpu: _Amount = 0  # thousandths of a core
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: float = pydantic.Field(default=0, ge=0, le=MAX_ESTIMATE_MS)
+    depends_on: list[int] = pydantic.Field(default=[], max_length=MAX_DEPENDENCIES)
+    required_label: _Label = ""
+    affinity: _Label = ""
+    anti_affinity: _Amount = 0
     gang: bool = False
     same_rack: bool = False
     long_running: bool = False
@@ -44,7 +55,7 @@
 
 class _Job(pydantic.BaseModel):
     spec: str = ""
-    steps: list[_Step] = pydantic.Field(min_length=1)
+    steps: list[_Step] = pydantic.Field(min_length=1, max_length=MAX_STEPS)
     best_effort: bool = False
     long_running: bool = False
     gang: bool = False
@@ -65,10 +76,27 @@
         job = _Job.model_validate(json.loads(body))
     except (ValueError, RecursionError) as error:
         raise BadJobError(" ".join(str(error).split())[:200]) from error
+    _check_size(job)
     _check_supported(job)
     return JobBody(job.spec, [_decode_step(number, step) for number, step in enumerate(job.steps)])
 
 
+def _check_size(job: _Job) -> None:
+    try:
+        spec_bytes = len(job.spec.encode())
+    except UnicodeEncodeError as error:
+        # JSON can escape half of a surrogate pair, which no message to an agent can contain.
+        raise BadJobError("spec is not valid Unicode") from error
+    if spec_bytes > MAX_SPEC_BYTES:
+        raise BadJobError(f"spec has {spec_bytes} bytes, at most {MAX_SPEC_BYTES} are allowed")
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
+        raise BadJobError(f"job has {tasks} tasks, at most {MAX_TASKS} are allowed")
+    dependencies = sum(len(step.depends_on) for step in job.steps)
+    if dependencies > MAX_DEPENDENCIES:
+        raise BadJobError(f"steps have {dependencies} dependencies, at most {MAX_DEPENDENCIES} are allowed")
+
+
 def _check_supported(job: _Job) -> None:
     if not job.best_effort:
         raise UnsupportedJobError("stored jobs are not supported")
@@ -85,7 +113,7 @@
         task_count=step.count,
         demand=scheduling.Resources(step.cpu, step.mem_mb, step.gpu),
         estimate_s=step.estimate_ms / 1000,
-        depends_on=tuple(step.depends_on),
+        depends_on=tuple(sorted(set(step.depends_on))),
         required_label=step.required_label,
         rack=step.affinity,  # the rack that holds the data
         max_per_worker=step.anti_affinity,  # a maximum number of tasks per worker, not an exclusion
--- a/tests/unit/platform/test_job_body.py
+++ b/tests/unit/platform/test_job_body.py
@@ -60,3 +60,58 @@
     """Guards against an unexpected error in the entry because of a body that nests thousands of lists."""
     with pytest.raises(job_body.BadJobError):
         job_body.decode(b"[" * 100_000)
+
+
+HUGE = 10**400
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        {"estimate_ms": float("inf")},
+        {"estimate_ms": float("nan")},
+        {"estimate_ms": 1e300},
+        {"estimate_ms": HUGE},
+        {"cpu": HUGE},
+        {"mem_mb": HUGE},
+        {"gpu": HUGE},
+        {"anti_affinity": -1},
+        {"anti_affinity": HUGE},
+        {"count": HUGE},
+        {"count": job_body.MAX_TASKS + 1},
+        {"required_label": "x" * (job_body.MAX_LABEL_LENGTH + 1)},
+        {"affinity": "x" * (job_body.MAX_LABEL_LENGTH + 1)},
+        {"depends_on": [0] * (job_body.MAX_DEPENDENCIES + 1)},
+    ],
+    ids=lambda step: "-".join(step),
+)
+def test_step_with_a_value_out_of_range_is_an_error(step: dict[str, object]) -> None:
+    """Guards against values with which the scheduler computes infinite or undefined durations, or builds millions."""
+    with pytest.raises(job_body.BadJobError):
+        job_body.decode(_body(steps=[{"count": 1}, step]))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"spec": "x" * (job_body.MAX_SPEC_BYTES + 1)},
+        {"spec": "\u00e9" * (job_body.MAX_SPEC_BYTES // 2 + 1)},
+        {"spec": "\ud800"},
+        {"steps": [{"count": job_body.MAX_TASKS}, {"count": 1}]},
+        {"steps": [{}] * (job_body.MAX_STEPS + 1)},
+        {"steps": [{}, *[{"depends_on": [0] * (job_body.MAX_DEPENDENCIES // 2)}] * 3]},
+    ],
+    ids=["spec", "spec in bytes", "half of a surrogate pair", "tasks", "steps", "dependencies"],
+)
+def test_job_above_a_limit_is_an_error(changes: dict[str, object]) -> None:
+    """Guards against a job that stalls the entry, or that no message to an agent can contain."""
+    with pytest.raises(job_body.BadJobError):
+        job_body.decode(_body(**changes))
+
+
+def test_job_at_the_limits_is_decoded() -> None:
+    """Guards against limits that refuse the largest jobs that are allowed."""
+    step = {"count": job_body.MAX_TASKS - 1, "cpu": job_body.MAX_AMOUNT, "estimate_ms": job_body.MAX_ESTIMATE_MS}
+    decoded = job_body.decode(_body(spec="x" * job_body.MAX_SPEC_BYTES, steps=[step, {"depends_on": [0, 0]}]))
+    assert sum(each.task_count for each in decoded.steps) == job_body.MAX_TASKS
+    assert decoded.steps[1].depends_on == (0,)
