Answer requests with odd headers and unexpected errors, and log them

A Deadline-Ms that is not a number of at least 0 is now answered 400 with `bad_header` and logged as `job_refused`; such values that are not digits used to count as absent. A WebSocket handshake is refused, which the server answers with 403 (seen over a socket). Any other unexpected error is logged as `request_failed` and answered 500, as it is no fault of the caller. Paths in the log are cut to 200 characters.

--- a/src/cactusgauge/platform/asgi.py
+++ b/src/cactusgauge/platform/asgi.py
@@ -59,6 +59,12 @@
     await send({"type": "http.response.body", "body": content})
 
 
+async def refuse_websocket(receive: Receive, send: Send) -> None:
+    """Refuse a WebSocket connection, which the server answers with 403."""
+    await receive()
+    await send({"type": "websocket.close"})
+
+
 def header(scope: Scope, name: bytes) -> str:
     """Return the value of a header, or an empty string if it is absent; `name` must be in lower case."""
     for key, value in scope["headers"]:
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -1,16 +1,19 @@
 """HTTP endpoints of an entry for jobs and for readiness checks."""
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
-from cactusgauge import fleet, ids, scheduling
+from cactusgauge import exceptions, fleet, ids, scheduling
 from cactusgauge.platform import asgi, job_body
 
 if TYPE_CHECKING:
     from cactusgauge import observability
 
 DEFAULT_DEADLINE_S = 30.0  # for requests without a deadline header; a job is also canceled when its caller disconnects
+MAX_DEADLINE_S = 86_400.0  # longer waits are cut to this
 NO_CONFIG_RETRY_AFTER_S = 1
+MAX_LOGGED_PATH_LENGTH = 200  # characters
 
 # Started jobs that ended for one of these reasons are answered with 504; the caller may submit them again.
 UNFINISHED_REASONS = frozenset({"deadline", fleet.ENTRY_STOPPING})
@@ -22,6 +25,13 @@
 }
 
 
+class BadHeaderError(exceptions.CactusgaugeError):
+    """A header of a request is invalid."""
+
+    code = "bad_header"
+    http_status = 400
+
+
 class JobApp:
     """ASGI application for jobs; translates between HTTP and `ParallelJobService`."""
 
@@ -51,17 +61,41 @@
         receive: asgi.Receive,
         send: asgi.Send,
     ) -> None:
-        """Handle one request."""
+        """Handle one request; an unexpected error is answered with 500 and ends nothing else."""
+        if scope.get("type") == "websocket":
+            self._journal.log_event("request_refused", path=self._path(scope), reason="websocket")
+            await asgi.refuse_websocket(receive, send)
+            return
+        is_answered = False
+
+        async def send_once(message: dict[str, Any]) -> None:
+            nonlocal is_answered
+            is_answered = True
+            await send(message)
+
+        try:
+            await self._serve(scope, receive, send_once)
+        except Exception as error:
+            self._journal.log_event(
+                "request_failed", path=self._path(scope), error=f"{type(error).__name__}: {error}"[:200]
+            )
+            if is_answered:
+                raise
+            await self._respond(send, 500, {"code": "internal"})
+
+    async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         arrived_at = asyncio.get_running_loop().time()
         routes = self._cache.routes
         path: str = scope["path"]
         if routes is None:
-            self._journal.log_event("request_refused", path=path, reason="no_config")
+            self._journal.log_event("request_refused", path=self._path(scope), reason="no_config")
             await self._respond(send, 503, {}, NO_CONFIG_RETRY_AFTER_S)
             return
         route = routes.find(asgi.header(scope, b"host").partition(":")[0], path)
         if route is None:
-            self._journal.log_event("request_refused", path=path, reason="no_route", config_version=self._cache.version)
+            self._journal.log_event(
+                "request_refused", path=self._path(scope), reason="no_route", config_version=self._cache.version
+            )
             await self._respond(send, 404, {})
             return
         job_id = path[len(route.path_prefix) :]
@@ -97,14 +131,14 @@
         arrived_at: float,
     ) -> None:
         try:
+            deadline = arrived_at + self._time_to_deadline_s(scope)
             decoded = job_body.decode(body)
             if route.policy.needs_advice:
                 raise job_body.UnsupportedJobError("queues with an advisor are not supported")
-        except (job_body.BadJobError, job_body.UnsupportedJobError) as error:
+        except (BadHeaderError, job_body.BadJobError, job_body.UnsupportedJobError) as error:
             self._journal.log_event("job_refused", job=job_id, reason=error.code, detail=str(error))
             await self._respond(send, error.http_status, {"code": error.code, "message": str(error)})
             return
-        deadline = arrived_at + self._time_to_deadline_s(scope)
         new_job = fleet.NewJob(ids.JobKey(job_id), route.policy, decoded.steps, decoded.payload, deadline)
         answer = await self._job_service.submit(new_job, lambda: self._wait_for_disconnect(receive))
         if answer is None:
@@ -143,7 +177,19 @@
     @staticmethod
     def _time_to_deadline_s(scope: asgi.Scope) -> float:
         text = asgi.header(scope, b"deadline-ms")
-        return int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
+        if not text:
+            return DEFAULT_DEADLINE_S
+        try:
+            wait_ms = float(text)
+        except ValueError:
+            wait_ms = math.nan
+        if not wait_ms >= 0:
+            raise BadHeaderError(f"Deadline-Ms: a number of milliseconds is expected (found {text[:20]!r})")
+        return min(wait_ms / 1000, MAX_DEADLINE_S)
+
+    @staticmethod
+    def _path(scope: asgi.Scope) -> str:
+        return str(scope["path"])[:MAX_LOGGED_PATH_LENGTH]
 
     async def _respond(
         self,
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -3,6 +3,10 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+import hypothesis
+import pytest
+from hypothesis import strategies
+
 from cactusgauge.platform import config_document, job_app
 from tests.unit.fleet import conftest as fleet_conftest
 
@@ -194,3 +198,158 @@
         assert answer is not None and answer[:2] == (200, {"state": "canceled"})
         unknown = await setup.call("DELETE", "/q/" + "0" * 16)
         assert unknown is not None and unknown[0] == 410
+
+
+def _bad_step(**changes: object) -> dict[str, object]:
+    return {**BODY, "steps": [{"count": 2, "cpu": 1000, "mem_mb": 10, "estimate_ms": 100, **changes}]}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        _bad_step(estimate_ms=float("inf")),
+        _bad_step(cpu=10**400),
+        {**BODY, "spec": "\ud800"},
+    ],
+    ids=["infinite estimate", "huge cpu", "half of a surrogate pair"],
+)
+async def test_odd_job_is_refused_and_later_ones_are_served(body: dict[str, object]) -> None:
+    """Guards against a job that is never answered, or after which its queue answers no other job."""
+    async with _running_app() as setup, asyncio.timeout(3.0):
+        setup.configure()
+        answer = await setup.call("POST", f"/q/{JOB}", body)
+        assert answer is not None and answer[0] == 400
+        assert answer[1]["code"] == "bad_job" and answer[1]["message"]
+        later = await setup.call("POST", "/q/" + "0" * 16, BODY)
+        assert later is not None and later[:2] == (200, {"state": "succeeded"})
+        assert setup.entry.job_service.open_count == 0
+    assert len(setup.agent.worker.starts) == 2
+
+
+@pytest.mark.parametrize("value", ["\u00b2", "nan", "-1", "soon", "1e"])
+async def test_invalid_deadline_is_refused(value: str) -> None:
+    """Guards against an unhandled error because of a header, and against a job without a deadline."""
+    async with _running_app() as setup:
+        setup.configure()
+        headers = ((b"deadline-ms", value.encode("latin-1")),)
+        answer = await setup.call("POST", f"/q/{JOB}", BODY, headers=headers)
+        assert answer is not None and answer[0] == 400
+        assert answer[1]["code"] == "bad_header" and "Deadline-Ms" in answer[1]["message"]
+        assert setup.entry.job_service.open_count == 0
+    assert setup.agent.worker.starts == []
+
+
+@pytest.mark.parametrize("value", [b"9" * 400, b"9" * 5000, b"30000", b"30000.5"])
+async def test_long_deadline_is_cut(value: bytes) -> None:
+    """Guards against an unhandled error because of a deadline that exceeds the range of a number."""
+    async with _running_app() as setup:
+        setup.configure()
+        answer = await setup.call("POST", f"/q/{JOB}", BODY, headers=((b"deadline-ms", value),))
+    assert answer is not None and answer[:2] == (200, {"state": "succeeded"})
+
+
+async def test_unexpected_error_is_logged_and_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that fails without a trace in the log."""
+    async with _running_app() as setup:
+        setup.configure()
+        events: list[str] = []
+        monkeypatch.setattr(setup.entry.journal, "log_event", lambda event, **fields: events.append(event))
+
+        def fail(queue: str) -> int:
+            raise RuntimeError(queue)
+
+        monkeypatch.setattr(setup.entry.link_server.scheduler, "count_waiting_jobs", fail)
+        answer = await setup.call("GET", "/q/")
+        assert answer is not None and answer[:2] == (500, {"code": "internal"})
+        assert "request_failed" in events
+
+
+async def test_websocket_connection_is_refused() -> None:
+    """Guards against an unhandled error because of a WebSocket handshake at the address for jobs."""
+    entry = fleet_conftest.Entry("e", [])
+    app = job_app.JobApp(entry.job_service, entry.cache, entry.link_server, entry.counters, entry.journal)
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "websocket.connect"}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    await app({"type": "websocket", "path": "/q/", "headers": []}, receive, send)
+    assert sent == [{"type": "websocket.close"}]
+
+
+NUMBERS = strategies.one_of(
+    strategies.sampled_from([0, -1, 1, 10**9, 2**53, 10**400, float("inf"), float("nan"), 1e300, True]),
+    strategies.integers(),
+    strategies.floats(),
+)
+VALUES = strategies.recursive(
+    strategies.one_of(NUMBERS, strategies.none(), strategies.text(strategies.characters(), max_size=5)),
+    lambda inner: strategies.lists(inner, max_size=4),
+    max_leaves=6,
+)
+STEP_FIELDS = ["count", "cpu", "mem_mb", "gpu", "estimate_ms", "depends_on", "required_label", "affinity", "gang"]
+JOB_BODIES = strategies.fixed_dictionaries(
+    {
+        "steps": strategies.lists(
+            strategies.dictionaries(strategies.sampled_from(STEP_FIELDS), strategies.one_of(NUMBERS, VALUES)),
+            max_size=3,
+        ),
+        "best_effort": strategies.one_of(strategies.just(True), VALUES),
+    },
+    optional={"spec": VALUES, "times": VALUES},
+)
+# `json` writes unpaired surrogates as escapes, and numbers that are not finite by their names.
+ONE_ODD_FIELD = strategies.dictionaries(strategies.sampled_from(STEP_FIELDS), NUMBERS, max_size=1).map(
+    lambda changes: _bad_step(**changes)
+)
+BODIES = strategies.one_of(
+    strategies.binary(max_size=50),
+    strategies.one_of(strategies.just(BODY), ONE_ODD_FIELD, JOB_BODIES).map(lambda body: json.dumps(body).encode()),
+)
+DEADLINES = strategies.one_of(
+    strategies.binary(max_size=8),
+    strategies.integers().map(lambda number: str(number).encode()),
+    strategies.sampled_from([b"9" * 400, b"9" * 5000, b"\xb2", b"inf", b"nan", b"1_0"]),
+)
+METHODS = strategies.sampled_from(["POST", "POST", "POST", "GET", "DELETE", "PUT", "\u00e9"])
+PATHS = strategies.one_of(strategies.just(f"/q/{JOB}"), strategies.text(max_size=30).map(lambda text: f"/q/{text}"))
+
+
+async def _create_without_workers() -> _Setup:
+    setup = _Setup(fleet_conftest.Entry("e", []), fleet_conftest.Agent("a", []))
+    setup.configure()
+    setup.entry.link_server.scheduler._grace_ends_at = float("inf")  # so that all valid jobs are accepted
+    return setup
+
+
+async def _call_without_workers(
+    setup: _Setup, method: str, path: str, body: bytes, headers: tuple[tuple[bytes, bytes], ...]
+) -> None:
+    entry = setup.entry
+    disconnected = asyncio.Event()
+    disconnected.set()
+    answer = await setup.call(method, path, body, disconnected, headers)
+    assert answer is None or 200 <= answer[0] < 500 or answer[0] in (503, 504)
+    if answer is not None and answer[0] == 400:
+        assert answer[1]["code"] and answer[1]["message"]
+    for _ in range(2):
+        entry.link_server.scheduler.tick(asyncio.get_running_loop().time())
+    assert entry.job_service.open_count == 0
+    assert not entry.link_server.scheduler.open_jobs
+
+
+def test_drawn_requests_get_documented_answers() -> None:
+    """Guards against requests that end in an unhandled error or leave an open job behind."""
+    with asyncio.Runner() as runner:
+        setup = runner.run(_create_without_workers())
+
+        @hypothesis.settings(max_examples=400)
+        @hypothesis.given(METHODS, PATHS, BODIES, strategies.one_of(strategies.none(), DEADLINES))
+        def run(method: str, path: str, body: bytes, deadline: bytes | None) -> None:
+            headers = ((b"deadline-ms", deadline),) if deadline is not None else ()
+            runner.run(_call_without_workers(setup, method, path, body, headers))
+
+        run()
