Accept only finite, bounded numbers and plain values from peers

What a frame of a peer could do on the old code (as run): - A Grant with the stamp inf, 1e15 or 1e300 (or the text "inf") reached the run controller as a grant without end, and NaN as one whose comparisons are all false. The link stayed open. - A Grant of 21 bytes with a CBOR decimal of exponent 10**9 as a number kept the process in the validation; it was stopped after 30 s without a result. - The infinite stamp of an agent's AgentHello stayed in the entry's state. An end numbered 10**5000 stayed in the agent's account, which could not be written as text any more (ValueError). - An entry announced as `ws://10.0.0.1:99999`, `http://[` or "" was passed on to all agents. They logged `link_failed` for it and went on. - A frame that could not be decoded closed its link without a line in the log.

TupleCodec refuses tagged values and lists inside themselves before they are validated. An announced address must be a WebSocket URL, and a list of entries has at most 1,000. The addresses of a list are not checked one by one, as an old entry that passes on an odd one would lose its links. An agent refuses stamps later than its own clock, as stamps are times that it has sent. A violation closes the link with 1002 and is logged as `link_failed`; an unexpected error in an entry's link is logged as well. The wire format is unchanged.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -9,6 +9,7 @@
 from cactusgauge.fleet import (
     config_exchange,
     entry_outbox,
+    fleet_codec,
     fleet_link,
     known_entries,
     link_monitor,
@@ -75,7 +76,7 @@
         self._directory = directory
         self._counters = counters
         self._journal = journal
-        self._codec = wire.TupleCodec(messages.MESSAGE_TYPES)
+        self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._connections: dict[str, _EntryConnection] = {}
         self._outboxes: dict[ids.EntryIncarnation, entry_outbox.EntryOutbox] = {}
@@ -293,6 +294,13 @@
             await asyncio.sleep(DIRECTORY_POLL_S if self._connections else DIRECTORY_POLL_UNLINKED_S)
 
     async def _dial_once(self, url: str) -> None:
+        try:
+            await self._serve_entry(url)
+        except exceptions.ProtocolError as error:
+            self._journal.log_event("link_failed", url=url, error=f"{type(error).__name__}: {error}"[:200])
+            raise
+
+    async def _serve_entry(self, url: str) -> None:
         connection = await wire.dial(url, DIAL_TIMEOUT_S)
         async with fleet_link.FleetLink(connection, self._codec, self._counters, self._monitor) as link:
             async with asyncio.timeout(HELLO_TIMEOUT_S):
@@ -336,10 +344,17 @@
             link.post(crash)
         self._known_entries.confirm(hello.entries)
 
+    @staticmethod
+    def _check_stamp(stamp: float) -> None:
+        """Raise `ProtocolError` for a stamp that this agent has not sent yet; its grant would not end in time."""
+        if stamp > asyncio.get_running_loop().time():
+            raise exceptions.ProtocolError("stamp is later than the agent's clock")
+
     def _handle_message(
         self, connection: _EntryConnection, message: messages.Message, controller: runs.RunController
     ) -> None:
         if isinstance(message, messages.Starts):
+            self._check_stamp(message.stamp)
             outbox = self._outboxes[connection.incarnation]
             for start in message.starts:
                 outbox.record_start(start.number)
@@ -354,6 +369,7 @@
                     controller.start(new, message.stamp)
             self.on_report_changed()
         elif isinstance(message, messages.Grant):
+            self._check_stamp(message.stamp)
             controller.extend_grant(connection.incarnation, message.stamp + self._timing.grant_s)
             self._outboxes[connection.incarnation].acknowledge(message.acknowledged_end)
             self._known_entries.confirm(message.entries)
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -13,7 +13,15 @@
 
 from cactusgauge import accounting, background, exceptions, ids, runs, scheduling, wire
 from cactusgauge import health as health_module
-from cactusgauge.fleet import agent_peer, config_exchange, fleet_link, known_entries, link_monitor, messages
+from cactusgauge.fleet import (
+    agent_peer,
+    config_exchange,
+    fleet_codec,
+    fleet_link,
+    known_entries,
+    link_monitor,
+    messages,
+)
 
 if TYPE_CHECKING:
     from collections import abc
@@ -59,7 +67,7 @@
         self._counters = counters
         self._journal = journal
         self._on_job_ended = on_job_ended
-        self._codec = wire.TupleCodec(messages.MESSAGE_TYPES)
+        self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
         self._peers: dict[ids.AgentName, agent_peer.AgentPeer] = {}
@@ -166,28 +174,38 @@
             peer.flush_starts()
 
     async def _serve_link(self, connection: server.ServerConnection) -> None:
-        with contextlib.suppress(exceptions.LinkClosedError, exceptions.ProtocolError):
+        try:
             async with fleet_link.FleetLink(connection, self._codec, self._counters, self._monitor) as link:
-                link.post(
-                    messages.EntryHello(
-                        messages.PROTOCOL_VERSION,
-                        self._name,
-                        self.incarnation,
-                        self._cache.version,
-                        self._list_known_entries(),
-                    )
-                )
-                try:
-                    async with asyncio.timeout(HELLO_TIMEOUT_S):
-                        hello = await link.receive()
-                except TimeoutError as error:
-                    raise exceptions.ProtocolError(f"no hello message within {HELLO_TIMEOUT_S} s") from error
-                if isinstance(hello, messages.EntryAnnouncement):
-                    await self._serve_entry(link, hello)
-                elif isinstance(hello, messages.AgentHello):
-                    await self._serve_agent(link, hello)
-                else:
-                    raise exceptions.ProtocolError("expected AgentHello or EntryAnnouncement")
+                await self._serve_peer(link)
+        except exceptions.LinkClosedError:
+            pass  # agents and entries come and go
+        except Exception as error:
+            self._log_link_failure(str(connection.remote_address), error)
+
+    async def _serve_peer(self, link: fleet_link.FleetLink) -> None:
+        link.post(
+            messages.EntryHello(
+                messages.PROTOCOL_VERSION,
+                self._name,
+                self.incarnation,
+                self._cache.version,
+                self._list_known_entries(),
+            )
+        )
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                hello = await link.receive()
+        except TimeoutError as error:
+            raise exceptions.ProtocolError(f"no hello message within {HELLO_TIMEOUT_S} s") from error
+        if isinstance(hello, messages.EntryAnnouncement):
+            await self._serve_entry(link, hello)
+        elif isinstance(hello, messages.AgentHello):
+            await self._serve_agent(link, hello)
+        else:
+            raise exceptions.ProtocolError("expected AgentHello or EntryAnnouncement")
+
+    def _log_link_failure(self, url: str, error: Exception) -> None:
+        self._journal.log_event("link_failed", url=url, error=f"{type(error).__name__}: {error}"[:200])
 
     async def _serve_entry(self, link: fleet_link.FleetLink, hello: messages.EntryAnnouncement) -> None:
         while True:
@@ -389,7 +407,10 @@
                 with contextlib.suppress(
                     OSError, TimeoutError, exceptions.CactusgaugeError, websockets.exceptions.WebSocketException
                 ):
-                    await self._announce_to(seeds[seed_number])
+                    try:
+                        await self._announce_to(seeds[seed_number])
+                    except exceptions.ProtocolError as error:
+                        self._log_link_failure(seeds[seed_number], error)
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     async def _announce_to(self, url: str) -> None:
--- a/src/cactusgauge/fleet/fleet_link.py
+++ b/src/cactusgauge/fleet/fleet_link.py
@@ -6,16 +6,22 @@
 from typing import TYPE_CHECKING, Self
 
 import websockets.exceptions
+from websockets import frames
 
 from cactusgauge import exceptions, wire
 from cactusgauge.fleet import messages
 
 if TYPE_CHECKING:
+    from types import TracebackType
+
     from websockets.asyncio import connection as connection_module
 
     from cactusgauge import observability
     from cactusgauge.fleet import link_monitor
 
+CLOSE_TIMEOUT_S = 0.5  # for telling a peer that it violated the protocol
+MAX_CLOSE_REASON_BYTES = 120  # WebSocket limits the close reason to 123 bytes
+
 
 class FleetLink:
     """Sends and receives messages of `fleet.messages`.
@@ -51,11 +57,17 @@
         self._monitor.add(self)
         return self
 
-    async def __aexit__(self, *exception: object) -> None:
+    async def __aexit__(
+        self, error_type: type[BaseException] | None, error: BaseException | None, traceback: "TracebackType | None"
+    ) -> None:
         assert self._writer is not None
         self._monitor.discard(self)
         self._writer.cancel()
-        self.abort()
+        try:
+            if isinstance(error, exceptions.ProtocolError):
+                await self._report_violation(str(error))
+        finally:
+            self.abort()
         await asyncio.gather(self._writer, return_exceptions=True)
 
     def post(self, message: messages.Message) -> None:
@@ -89,6 +101,13 @@
         """Close the connection at once, without sending what is pending."""
         self._connection.transport.abort()
 
+    async def _report_violation(self, reason: str) -> None:
+        self._counters.add("fleet_protocol_errors", "", "")
+        short_reason = reason.encode()[:MAX_CLOSE_REASON_BYTES].decode(errors="ignore")
+        with contextlib.suppress(TimeoutError, OSError, websockets.exceptions.WebSocketException):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._connection.close(frames.CloseCode.PROTOCOL_ERROR, short_reason)
+
     async def _write(self) -> None:
         with contextlib.suppress(websockets.exceptions.ConnectionClosed):
             while True:
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -5,11 +5,28 @@
 change of it needs a new PROTOCOL_VERSION.
 """
 
-from typing import NamedTuple
+import urllib.parse
+from typing import Annotated, NamedTuple
+
+import pydantic
 
 from cactusgauge import ids, scheduling
 
 PROTOCOL_VERSION = 4
+MAX_LISTED_ENTRIES = 1_000  # many times the number of entries at the target size
+
+
+def _check_link_url(url: str) -> str:
+    """Return a link URL; raise `ValueError` if it cannot be dialled."""
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme not in ("ws", "wss") or not parts.hostname or parts.port == 0:
+        raise ValueError("not a WebSocket URL")
+    return url
+
+
+LinkUrl = Annotated[str, pydantic.AfterValidator(_check_link_url)]
+# Not validated one by one: an odd URL that an entry has learned from another must not end its own links.
+LinkUrls = Annotated[list[str], pydantic.Field(max_length=MAX_LISTED_ENTRIES)]
 
 
 class EntryHello(NamedTuple):
@@ -19,7 +36,7 @@
     entry: str
     incarnation: ids.EntryIncarnation
     config_version: int
-    entries: list[str]
+    entries: LinkUrls
 
 
 class EndedRun(NamedTuple):
@@ -55,7 +72,7 @@
 
     stamp: float
     config_version: int
-    entries: list[str]
+    entries: LinkUrls
 
 
 class Report(NamedTuple):
@@ -82,7 +99,7 @@
     stamp: float
     acknowledged_end: int
     config_version: int
-    entries: list[str]
+    entries: LinkUrls
 
 
 class StartRun(NamedTuple):
@@ -134,7 +151,7 @@
 class EntryAnnouncement(NamedTuple):
     """First message of an entry that dials another one to make itself known."""
 
-    link_url: str
+    link_url: LinkUrl
 
 
 Message = (
--- a/src/cactusgauge/wire/codec.py
+++ b/src/cactusgauge/wire/codec.py
@@ -14,6 +14,7 @@
     from collections import abc
 
 MAX_FRAME_BYTES = 32 * 1024 * 1024
+_SCALAR_TYPES = frozenset({bool, int, float, str, bytes})
 
 
 def _encode_enum(encoder: cbor2.CBOREncoder, value: object) -> None:
@@ -56,12 +57,30 @@
         if type(kind) is not int or not 0 <= kind < len(self._adapters):
             # The text leaves out the kind, as formatting a huge integer raises an error.
             raise exceptions.ProtocolError("unknown message kind")
+        self._check_types(fields)
         try:
             return self._adapters[kind].validate_python(fields[1:])
         except pydantic.ValidationError as error:
             name = self._message_types[kind].__name__
             raise exceptions.ProtocolError(f"malformed {name}: {error.error_count()} validation errors") from error
 
+    @staticmethod
+    def _check_types(fields: list[Any]) -> None:
+        """Raise `ProtocolError` for a value that no message contains, such as a tagged one or a list inside itself.
+
+        The validation would convert some of them to numbers: a decimal with a huge exponent takes it minutes.
+        """
+        seen = {id(fields)}
+        pending = [fields]
+        while pending:
+            for value in pending.pop():
+                kind = type(value)
+                if kind is list and id(value) not in seen:
+                    seen.add(id(value))
+                    pending.append(value)
+                elif kind not in _SCALAR_TYPES:
+                    raise exceptions.ProtocolError(f"unexpected value of type {kind.__name__}")
+
     @staticmethod
     def _decode_items(frame: bytes) -> list[Any]:
         stream = io.BytesIO(frame)
--- a/tests/unit/wire/test_codec.py
+++ b/tests/unit/wire/test_codec.py
@@ -132,8 +132,10 @@
         cbor2.dumps([1 << 20_000]),
         cbor2.dumps([True, 0, 0]),
         cbor2.dumps([4, 1, 0, 1, [["s", 1, 0, "queued", "", b"", 0.0]]]),
+        cbor2.dumps([5, cbor2.CBORTag(4, [400, 1]), 0, True]),
+        b"\xd8\x1c\x82\x05\xd8\x1d\x00",
     ],
-    ids=["text", "empty", "empty array", "nested", "huge kind", "bool kind", "open task state"],
+    ids=["text", "empty", "empty array", "nested", "huge kind", "bool kind", "open task state", "decimal", "cycle"],
 )
 def test_invalid_frame_raises_protocol_error(frame: bytes | str) -> None:
     """Guards against frames that raised other errors before, and outcomes with a state that is not final."""
