Refuse heartbeats and replies of workers with unusable numbers, addresses or names

Operators saw workers that stayed absent, or jobs that ended with an internal error, after one odd heartbeat of another writer or one odd reply.

Cause: pydantic and `isinstance` accept infinite, huge, boolean and negative numbers, numbers in strings, and any text as an address or name. These raise errors or block later values far from where they were decoded.

The decoders now use `json_document`, which raises one error for whatever can't be read and has types for finite, bounded numbers and printable names, and `network_address`. So the controller sees usable values only. A whole number that is written with a fraction and unknown fields of any content are still accepted in a heartbeat.

--- a/src/cactusgauge/platform/heartbeat_app.py
+++ b/src/cactusgauge/platform/heartbeat_app.py
@@ -1,12 +1,12 @@
 """HTTP endpoint for the heartbeats of the local worker of an agent."""
 
-import json
+import re
 from typing import TYPE_CHECKING
 
 import pydantic
 
 from cactusgauge import ids, runs, scheduling
-from cactusgauge.platform import asgi
+from cactusgauge.platform import asgi, json_document, network_address
 
 if TYPE_CHECKING:
     from cactusgauge import observability
@@ -14,23 +14,26 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 KNOWN_STATES = frozenset({"ready", "draining"})
 PATH_PREFIX = "/-/instances/"
+MAX_LABELS = 100  # a worker has one for its kind and one for its rack; every report to an entry contains all
+WORKER_ID = re.compile(rf"[!-~]{{1,{json_document.MAX_NAME_LENGTH}}}")  # it is sent in a header of each request
+MAX_LOGGED_ID_LENGTH = 80  # characters
 
 
 class _Capacity(pydantic.BaseModel):
-    cpu: int = pydantic.Field(ge=0)  # thousandths of a core
-    mem_mb: int = pydantic.Field(ge=0)
-    gpu: int = pydantic.Field(default=0, ge=0)
+    cpu: json_document.ResourceAmount  # thousandths of a core
+    mem_mb: json_document.ResourceAmount
+    gpu: json_document.ResourceAmount = 0
 
 
 class _Heartbeat(pydantic.BaseModel):
-    service: str
-    address: str
+    service: json_document.Name
+    address: network_address.AddressText
     state: str
     capacity: _Capacity
-    labels: list[str] = []
-    clock_ms: float
-    seq: int
-    born: int = 0
+    labels: list[json_document.Name] = pydantic.Field(default=[], max_length=MAX_LABELS)
+    clock_ms: json_document.ClockMs
+    seq: json_document.Count
+    born: json_document.UnixMs = 0
 
 
 class HeartbeatApp:
@@ -68,6 +71,10 @@
             return
         if body is None:
             return
+        if not WORKER_ID.fullmatch(worker):
+            self._reject(worker, "the worker's id is not of 1 to 255 printable ASCII characters")
+            await asgi.respond(send, 400, {})
+            return
         if action == "leave":
             self._controller.handle_leave(ids.WorkerId(worker))
             await asgi.respond(send, 200, {})
@@ -77,12 +84,12 @@
     def _handle_heartbeat(self, worker: str, body: bytes) -> int:
         """Process a heartbeat; return the HTTP status of the response."""
         try:
-            parsed = _Heartbeat.model_validate(json.loads(body))
-        except (ValueError, RecursionError) as error:
-            self._journal.log_event("heartbeat_unreadable", worker=worker, error=" ".join(str(error).split())[:120])
+            parsed = json_document.read(_Heartbeat, body)
+        except json_document.UnreadableError as error:
+            self._reject(worker, str(error))
             return 400
         if parsed.state not in KNOWN_STATES:
-            self._journal.log_event("heartbeat_unreadable", worker=worker, error=f"unknown state {parsed.state[:20]}")
+            self._reject(worker, f"unknown state {parsed.state[:20]}")
             return 400
         heartbeat = runs.WorkerHeartbeat(
             worker=ids.WorkerId(worker),
@@ -98,3 +105,6 @@
         if not self._controller.handle_heartbeat(heartbeat):
             self._counters.add("heartbeats_old", "", worker)
         return 200
+
+    def _reject(self, worker: str, reason: str) -> None:
+        self._journal.log_event("heartbeat_unreadable", worker=worker[:MAX_LOGGED_ID_LENGTH], error=reason)
--- a/src/cactusgauge/platform/http_worker_client.py
+++ b/src/cactusgauge/platform/http_worker_client.py
@@ -1,13 +1,13 @@
 """HTTP client for the local worker of an agent."""
 
 import json
-import operator
-from typing import Any
+from typing import Annotated, Any
 
 import aiohttp
+import pydantic
 
 from cactusgauge import ids, runs, scheduling
-from cactusgauge.platform import job_body
+from cactusgauge.platform import job_body, json_document
 
 CALL_TIMEOUT_S = 0.15  # of starts and stops: many times the usual response time; after it, a start is retried
 POLL_TIMEOUT_MARGIN_S = 0.1  # added to the time that the worker was asked to wait; ends go unnoticed meanwhile
@@ -33,6 +33,14 @@
 }
 
 
+class _Listing(pydantic.BaseModel):
+    born: json_document.UnixMs | None = None  # start of the worker
+    # A row begins with the task name and the number of the run.
+    running: list[Annotated[list[Any], pydantic.Field(min_length=2)]] = []
+    # A row holds the number, task, run, kind of end and checkpoint.
+    finished: list[Annotated[list[Any], pydantic.Field(min_length=4)]] = []
+
+
 def new_session() -> aiohttp.ClientSession:
     """Return an HTTP session for the calls to one worker."""
     return aiohttp.ClientSession(
@@ -70,7 +78,10 @@
             return runs.StartReply(runs.StartStatus.STARTED, clock_s)
         if status in (429, 503):
             return runs.StartReply(runs.StartStatus.UNHEALTHY, clock_s)
-        start_status = START_STATUSES_BY_REASON.get(str(reply.get("reason")), runs.StartStatus.REJECTED)
+        reason = reply.get("reason")
+        start_status = START_STATUSES_BY_REASON.get(
+            reason if isinstance(reason, str) else "", runs.StartStatus.REJECTED
+        )
         return runs.StartReply(start_status if status == 409 else runs.StartStatus.REJECTED, clock_s)
 
     async def stop(self, key: ids.RunKey, fencing_token: int) -> None:
@@ -103,8 +114,8 @@
             raise runs.WorkerCallError(f"worker returned status {status} for a poll")
         try:
             return _decode_listing(clock_s, reply)
-        except (TypeError, KeyError, IndexError) as error:
-            raise runs.WorkerCallError("worker returned a malformed listing") from error
+        except json_document.UnreadableError as error:
+            raise runs.WorkerCallError(f"worker returned a malformed listing: {error}") from error
 
     async def _call(self, path: str, body: dict[str, Any], timeout_s: float) -> tuple[int, dict[str, Any]]:
         try:
@@ -127,35 +138,41 @@
         if response.status == 421:
             raise runs.WrongWorkerError(f"another worker answers at {self._url}")
         try:
-            reply = json.loads(content) if content else {}
-        except (ValueError, RecursionError) as error:
-            raise runs.WorkerCallError(f"{self._url}{path}: invalid JSON in the response") from error
+            reply = json_document.parse(content) if content else {}
+        except json_document.UnreadableError as error:
+            raise runs.WorkerCallError(f"{self._url}{path}: response {error}") from error
         return response.status, reply if isinstance(reply, dict) else {}
 
 
 def _decode_listing(clock_s: float, reply: dict[str, Any]) -> runs.WorkerListing:
-    """Return the listing in a reply; raise `TypeError`, `KeyError` or `IndexError` if it is malformed."""
-    # A row of `running` begins with the task name and the number of the run.
-    running = [job_body.parse_run_key(row[0], row[1]) for row in reply.get("running", [])]
-    # A row of `finished` holds the number, task, run, kind of end and checkpoint.
+    """Return the listing in a reply; raise `UnreadableError` if it is malformed."""
+    listing = json_document.validate(_Listing, reply)
+    running = [job_body.parse_run_key(row[0], row[1]) for row in listing.running]
     ends = [
         runs.WorkerRunEnd(
-            operator.index(row[0]),
+            _end_number(row[0]),
             job_body.parse_run_key(row[1], row[2]),
-            END_KINDS.get(row[3], scheduling.EndKind.LOST),
+            END_KINDS.get(_end_kind(row[3]), scheduling.EndKind.LOST),
         )
-        for row in reply.get("finished", [])
+        for row in listing.finished
     ]
-    incarnation = reply.get("born")  # Unix milliseconds of the worker's start
-    return runs.WorkerListing(
-        clock_s,
-        incarnation if isinstance(incarnation, int) else 0,
-        [key for key in running if key is not None],
-        ends,
-    )
+    return runs.WorkerListing(clock_s, listing.born or 0, [key for key in running if key is not None], ends)
+
+
+def _end_number(value: Any) -> int:
+    if not json_document.is_count(value):
+        raise json_document.UnreadableError(["finished: the number of an end is expected"])
+    number: int = value
+    return number
+
+
+def _end_kind(value: Any) -> str:
+    if not isinstance(value, str):
+        raise json_document.UnreadableError(["finished: the kind of an end is expected"])
+    return value
 
 
 def _clock_s(reply: dict[str, Any]) -> float | None:
-    """Return the time of the worker's clock in a reply, or None if the reply does not contain it."""
+    """Return the time of the worker's clock in a reply, or None if the reply contains no usable one."""
     clock = reply.get("clock_ms")
-    return clock / MS_PER_S if isinstance(clock, int | float) else None
+    return clock / MS_PER_S if isinstance(clock, int | float) and json_document.is_time_ms(clock) else None
--- a/src/cactusgauge/platform/job_body.py
+++ b/src/cactusgauge/platform/job_body.py
@@ -6,8 +6,10 @@
 import pydantic
 
 from cactusgauge import exceptions, ids, scheduling
+from cactusgauge.platform import json_document
 
 JOB_ID_LENGTH = 16
+MAX_TASK_NAME_LENGTH = 64  # characters; a job id, the numbers of an occurrence, step and task, and separators
 OCCURRENCE_NUMBER = 0  # part of a task's name; always 0 because repeating jobs are not supported
 
 
@@ -104,7 +106,11 @@
 
 def parse_run_key(name: Any, run: Any) -> ids.RunKey | None:
     """Return the key of a run that a worker lists, or None if the task name was not made by `format_task_name`."""
-    parts = name.split(".") if isinstance(name, str) else []
-    if len(parts) != 4 or not isinstance(run, int) or not (parts[2].isdecimal() and parts[3].isdecimal()):
+    if not isinstance(name, str) or len(name) > MAX_TASK_NAME_LENGTH or not json_document.is_count(run):
         return None
-    return ids.RunKey(ids.JobKey(parts[0]), int(parts[2]), int(parts[3]), run)
+    parts = name.split(".")
+    if len(parts) != 4 or not (parts[2].isdecimal() and parts[3].isdecimal()):
+        return None
+    key = ids.RunKey(ids.JobKey(parts[0]), int(parts[2]), int(parts[3]), run)
+    is_bounded = json_document.is_count(key.step) and json_document.is_count(key.position)
+    return key if is_bounded and format_task_name(key) == name else None
--- a/tests/unit/platform/test_job_body.py
+++ b/tests/unit/platform/test_job_body.py
@@ -60,3 +60,24 @@
     """Guards against an unexpected error in the entry because of a body that nests thousands of lists."""
     with pytest.raises(job_body.BadJobError):
         job_body.decode(b"[" * 100_000)
+
+
+@pytest.mark.parametrize(
+    ("name", "run"),
+    [
+        ("a.0.0." + "1" * 5000, 1),
+        ("a.0." + "1" * 5000 + ".0", 1),
+        ("a.0.0." + "9" * 40, 1),
+        ("a.0.00.1", 1),
+        ("a.1.0.1", 1),
+        ("a.0.\u0661.0", 1),
+        ("a.0.0.0", True),
+        ("a.0.0.0", 10**400),
+        ("a.0.0.0", -1),
+        ("a.0.0.0", 1.0),
+        ("a.0.0.0", float("inf")),
+    ],
+)
+def test_odd_task_name_or_run_names_no_run(name: str, run: object) -> None:
+    """Guards against an error, or the run of another task, because of a name that this program did not make."""
+    assert job_body.parse_run_key(name, run) is None
