Read past records of other writers in the store

Operators would see an agent without links, or loops that fail and start again, because of one odd record or response.

Cause: `int()` of infinity raised OverflowError, and a deeply nested answer to an append RecursionError, which were not caught. A page was continued after its last readable row, so the same rows were requested up to 50 times. Any key of the topic of entries counted as a link URL, and an agent without links dials all of them at once. A record that was cut off counted as read, and an empty response was followed by the next request without a pause.

Pages and answers are decoded with `json_document`. Reading continues after the last usable key, and fails if that is no progress. Only `ws://HOST:PORT` names an entry; others are logged once. A cut-off record is read again; if it is the first one, the follower starts again with the newest configuration, with a pause and a log line.

--- a/src/cactusgauge/fleet/config_follower.py
+++ b/src/cactusgauge/fleet/config_follower.py
@@ -36,8 +36,10 @@
                     batch = await self._store.newest()
                 else:
                     batch = await self._store.changes(cursor, LONG_POLL_S)
-            except stores.CursorLostError:
+            except stores.CursorLostError as error:
                 cursor = None  # start again with the newest configuration
+                self._log_event("config_cursor_lost", reason=str(error))
+                await asyncio.sleep(RETRY_S)  # the records after it may be lost again
                 continue
             except stores.StoreUnavailableError as error:
                 self._set_reachable(False, str(error))
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -50,7 +50,7 @@
         self.journal = observability.Journal(settings.name, self.counters)
         self.settings_watcher = settings_watcher.SettingsWatcher(path, self.journal)
         self.timing = runs.run_timing(settings.resend_after_s, settings.max_lease_s, settings.stop_s)
-        self.store = store.Store(session, settings.store_url)
+        self.store = store.Store(session, settings.store_url, self.journal.log_event)
         self.cache = fleet.ConfigCache(config_document.decode, self.journal.record_state)
         self.stop_requested = asyncio.Event()
         loop = asyncio.get_running_loop()
--- a/src/cactusgauge/platform/store.py
+++ b/src/cactusgauge/platform/store.py
@@ -1,12 +1,17 @@
 """Client of the platform's store."""
 
 import base64
-import json
 import struct
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
+import pydantic
 
 from cactusgauge import fleet
+from cactusgauge.platform import json_document, network_address
+
+if TYPE_CHECKING:
+    from collections import abc
 
 CALL_TIMEOUT_S = 1.5
 WAIT_TIMEOUT_MARGIN_S = 0.75  # added to the time that the store was asked to wait for a record
@@ -17,14 +22,33 @@
 READ_HEADER = struct.Struct(">QQ")  # at the start of a read reply: end offset and first retained offset
 RECORD_LENGTH = struct.Struct(">I")  # in bytes, before each record of a read reply or an append
 MAX_PAGES = 50
+# An agent that reaches no entry dials all of them. Entries that are alive publish every few seconds, so their records
+# are the newest; the others are of entries that have ended, or of another writer.
+MAX_ENTRIES = 64
+LINK_SCHEME = "ws://"
+MAX_LOGGED_KEY_LENGTH = 80  # characters
+
+
+class _Appended(pydantic.BaseModel):
+    offset: json_document.Count
+
+
+class _Page(pydantic.BaseModel):
+    items: list[Any]
+    has_more: bool | None = None
+    end: json_document.Count
 
 
 class Store(fleet.ConfigStore, fleet.EntryDirectory):
     """Reads the configuration and stores the addresses of entries; failed HTTP calls are not retried here."""
 
-    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, log_event: "abc.Callable[..., None] | None" = None
+    ) -> None:
         self._session = session
         self._url = url
+        self._log_event = log_event
+        self._unusable_entries = 0  # in the last read, so that only changes are logged
 
     async def newest(self) -> fleet.ConfigBatch:
         """Return the newest configuration and a cursor for the changes after it."""
@@ -47,6 +71,8 @@
         if status != 200:
             raise fleet.StoreUnavailableError(f"store returned status {status} for a read")
         records = _split_records(content)
+        if records is None:
+            raise fleet.CursorLostError(f"records from offset {cursor} can't be read")
         bodies = [value for key, value in map(_split_key, records) if key == CONFIG_KEY and value]
         return fleet.ConfigBatch(bodies, cursor + len(records))
 
@@ -65,9 +91,9 @@
         if status != 200:
             raise fleet.StoreUnavailableError(f"store returned status {status} for an append")
         try:
-            return int(json.loads(content)["offset"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise fleet.StoreUnavailableError("store returned an invalid response to an append") from error
+            return json_document.read(_Appended, content).offset
+        except json_document.UnreadableError as error:
+            raise fleet.StoreUnavailableError(f"store returned an invalid response to an append: {error}") from error
 
     async def newest_values(self, topic: str) -> list[tuple[int, bytes]]:
         """Return the offset and value of the newest record of each key."""
@@ -75,9 +101,14 @@
         return [(offset, value) for _, offset, value in items]
 
     async def entries(self) -> list[fleet.EntryRecord]:
-        """Return all published entries."""
+        """Return the published entries, of which the newest MAX_ENTRIES count; other keys name no entry."""
         items, _ = await self._newest_records(ENTRY_TOPIC)
-        return [fleet.EntryRecord(key, offset) for key, offset, _ in items]
+        usable = [fleet.EntryRecord(key, offset) for key, offset, _ in items if _is_link_url(key)]
+        unusable = [key for key, _, _ in items if not _is_link_url(key)]
+        if unusable and len(unusable) != self._unusable_entries and self._log_event is not None:
+            self._log_event("entries_unusable", count=len(unusable), first=unusable[0][:MAX_LOGGED_KEY_LENGTH])
+        self._unusable_entries = len(unusable)
+        return sorted(usable, key=lambda record: record.revision)[-MAX_ENTRIES:]
 
     async def _newest_records(self, topic: str) -> tuple[list[tuple[str, int, bytes]], int]:
         """Return key, offset and value of the newest record of each key, and the end offset of the topic."""
@@ -89,18 +120,18 @@
             if status != 200:
                 raise fleet.StoreUnavailableError(f"store returned status {status} for a read of {topic}")
             try:
-                page = json.loads(content)
-                rows = page["items"]
-                # Records may be appended between two pages, so the cursor is the end offset of the first page.
-                end = int(page["end"]) if end is None else end
-                items += [record for record in map(_decode_row, rows) if record is not None]
-            except (ValueError, KeyError, TypeError, RecursionError) as error:
-                raise fleet.StoreUnavailableError(f"store returned an invalid page of {topic}") from error
-            if not page.get("has_more") or not rows:
+                page = json_document.read(_Page, content)
+            except json_document.UnreadableError as error:
+                raise fleet.StoreUnavailableError(f"store returned an invalid page of {topic}: {error}") from error
+            # Records may be appended between two pages, so the cursor is the end offset of the first page.
+            end = page.end if end is None else end
+            items += [record for record in map(_decode_row, page.items) if record is not None]
+            if not page.has_more or not page.items:
                 break
-            if not items:
-                raise fleet.StoreUnavailableError(f"store returned no readable record of {topic}")
-            query["depends_on"] = items[-1][0]  # the platform's name for the key after which to continue
+            last_key = next(filter(None, map(_decode_key, reversed(page.items))), None)
+            if last_key is None or last_key == query.get("depends_on"):
+                raise fleet.StoreUnavailableError(f"store returned no readable key of {topic} to continue after")
+            query["depends_on"] = last_key  # the platform's name for the key after which to continue
         return items, end or 0
 
     async def _call(
@@ -122,12 +153,25 @@
             raise fleet.StoreUnavailableError(f"store: {error or type(error).__name__}") from error
 
 
+def _decode_key(row: object) -> str | None:
+    """Return the key of a row of a page, or None for one that another writer left unreadable."""
+    key = row.get("key") if isinstance(row, dict) else None
+    if not isinstance(key, str):
+        return None
+    try:
+        key.encode()
+    except UnicodeEncodeError:
+        return None  # a surrogate, which no request can contain
+    return key
+
+
 def _decode_row(row: object) -> tuple[str, int, bytes] | None:
     """Return key, offset and value of a row of a page, or None for one that another writer left unreadable."""
-    if not isinstance(row, dict):
+    key = _decode_key(row)
+    if key is None or not isinstance(row, dict):
         return None
-    key, offset, value = row.get("key"), row.get("offset"), row.get("value") or ""
-    if not isinstance(key, str) or type(offset) is not int or not isinstance(value, str):
+    offset, value = row.get("offset"), row.get("value") or ""
+    if not isinstance(offset, int) or not json_document.is_count(offset) or not isinstance(value, str):
         return None
     try:
         return key, offset, base64.b64decode(value)
@@ -135,16 +179,32 @@
         return None
 
 
-def _split_records(content: bytes) -> list[bytes]:
-    """Return the records in a read reply: a header, then the length and the bytes of each record."""
+def _is_link_url(key: str) -> bool:
+    """Return whether a key names an entry: the URL that `publish` writes has a host and a port only."""
+    try:
+        network_address.Address(key.removeprefix(LINK_SCHEME))
+    except ValueError:
+        return False
+    return key.startswith(LINK_SCHEME)
+
+
+def _split_records(content: bytes) -> list[bytes] | None:
+    """Return the records in a read reply: a header, then the length and the bytes of each record.
+
+    A last record that is cut off is left for the next read. Return None if there is no other, as no read gets past it.
+    """
+    if len(content) < READ_HEADER.size:
+        raise fleet.StoreUnavailableError("store returned an incomplete response to a read")
     records = []
     position = READ_HEADER.size
     while position + RECORD_LENGTH.size <= len(content):
         (length,) = RECORD_LENGTH.unpack_from(content, position)
+        if position + RECORD_LENGTH.size + length > len(content):
+            break
         position += RECORD_LENGTH.size
         records.append(content[position : position + length])
         position += length
-    return records
+    return None if not records and position < len(content) else records
 
 
 def _split_key(record: bytes) -> tuple[str, bytes]:
