Refuse configurations with unusable numbers

An odd configuration could come into force with an infinite objective, or with a version that blocks all later ones.

Cause: the fields accepted infinite, negative and huge numbers, booleans and numbers in strings.

Deep nesting and numbers with too many digits were handled before.

The fields have the bounded types of `json_document`, so such a document is logged as unreadable, the one in force stays and the next one is applied. Fields that are not used may hold anything.

--- a/src/cactusgauge/platform/config_document.py
+++ b/src/cactusgauge/platform/config_document.py
@@ -1,31 +1,31 @@
 """Decodes the operators' configuration."""
 
-import json
 from typing import Any
 
 import pydantic
 
 from cactusgauge import exceptions, fleet, ids, scheduling
+from cactusgauge.platform import json_document
 
 
 class _Route(pydantic.BaseModel):
-    name: str
-    host: str
-    path_prefix: str
-    service: str
-    priority: int = 0
-    attempts: int = 1
-    slack_factor: float = 1.0
-    target_latency_ms: float = 0.0
+    name: json_document.Name
+    host: json_document.Text
+    path_prefix: json_document.Text
+    service: json_document.Name
+    priority: json_document.Integer = 0
+    attempts: json_document.Count = 1
+    slack_factor: json_document.Factor = 1.0
+    target_latency_ms: json_document.DurationMs = 0.0
     advisor: Any = None
 
 
 class _Limits(pydantic.BaseModel):
-    max_body_bytes: int = 262_144
+    max_body_bytes: json_document.Count = 262_144
 
 
 class _Document(pydantic.BaseModel):
-    version: int
+    version: json_document.Count
     routes: list[_Route] = []
     limits: _Limits = _Limits()
 
@@ -33,9 +33,9 @@
 def decode(body: bytes) -> tuple[int, fleet.RouteTable]:
     """Return the version and routes of a document; raise `ConfigError` if it is invalid."""
     try:
-        document = _Document.model_validate(json.loads(body))
-    except (ValueError, RecursionError) as error:
-        raise exceptions.ConfigError(" ".join(str(error).split())[:200]) from error
+        document = json_document.read(_Document, body)
+    except json_document.UnreadableError as error:
+        raise exceptions.ConfigError(str(error)) from error
     routes = [
         fleet.Route(
             route.host,
--- a/tests/unit/platform/test_config_document.py
+++ b/tests/unit/platform/test_config_document.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cactusgauge import exceptions
+from cactusgauge import exceptions, fleet
 from cactusgauge.platform import config_document
 
 ROUTE = {
@@ -47,3 +47,52 @@
     """Guards against an invalid document that is decoded as an empty configuration."""
     with pytest.raises(exceptions.ConfigError):
         config_document.decode(body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000,
+        b'{"version":5,"services":' + b"[" * 100_000,
+        b'{"version":' + b"1" * 5000 + b"}",
+        b'{"version":1e999}',
+        _document(version=10**400),
+        _document(version=-1),
+        _document(version=True),
+        _document(version="5"),
+        *(
+            _document(routes=[ROUTE, {**ROUTE, **changes}])
+            for changes in (
+                {"priority": 10**400},
+                {"attempts": 10**400},
+                {"attempts": -1},
+                {"slack_factor": float("inf")},
+                {"slack_factor": float("nan")},
+                {"slack_factor": -1},
+                {"target_latency_ms": float("inf")},
+                {"target_latency_ms": float("nan")},
+                {"target_latency_ms": -1},
+                {"name": "\ud800"},
+                {"host": "\ud800"},
+            )
+        ),
+        _document(limits={"max_body_bytes": -1}),
+        _document(limits={"max_body_bytes": 10**400}),
+    ],
+)
+def test_odd_document_does_not_hide_later_ones(body: bytes) -> None:
+    """Guards against an odd document that ends the following, or whose version or numbers block later ones."""
+    events: list[str] = []
+    cache = fleet.ConfigCache(config_document.decode, lambda event, **fields: events.append(event))
+    cache.apply_if_newer(_document(), "store")
+    cache.apply_if_newer(body, "store")
+    assert cache.version == 4
+    cache.apply_if_newer(_document(version=6), "store")
+    assert cache.version == 6
+    assert events == ["config_in_force", "config_unreadable", "config_in_force"]
+
+
+def test_odd_values_of_unused_fields_are_ignored() -> None:
+    """Guards against refusing a configuration for a field that this program does not use."""
+    version, routes = config_document.decode(_document(services=[float("inf"), 10**400], routes=[{**ROUTE, "x": -1}]))
+    assert (version, len(routes)) == (4, 1)
