Keep the settings of a running process when the file is odd

A changed settings file with a seed without a port came into force, and reading the seeds then raised ValueError each time. A deeply nested file raised RecursionError at each check, and ended `--check` with a traceback. Ports out of range and infinite intervals came into force.

Cause: addresses were split only when they were used, RecursionError was not caught, and numbers were not bounded.

Addresses and numbers are checked when the file is read, with one line for each fault. The watcher remembers the last content, usable or not, so that it logs an unusable file once.

--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -21,6 +21,7 @@
     heartbeat_app,
     http_worker_client,
     job_app,
+    network_address,
     node_settings,
     settings_watcher,
     store,
@@ -96,13 +97,13 @@
 
         `purpose` is `front`, `ready` or `control`; idle connections are closed after `keep_alive_s`.
         """
-        address = self.settings.listen_address(purpose)
-        if address is None:
+        listen = self.settings.listen_address(purpose)
+        if listen is None:
             raise exceptions.SettingsError(f"listen.{purpose}: an address is expected (found nothing)")
-        return http_server.HttpServer(app, address.host, address.port, keep_alive_s)
+        return http_server.HttpServer(app, listen.host, listen.port, keep_alive_s)
 
 
-async def run_entry(path: pathlib.Path, link_listen: node_settings.Address | None) -> None:
+async def run_entry(path: pathlib.Path, link_listen: network_address.Address | None) -> None:
     """Run an entry until a stop signal; links are accepted at `link_listen`, by default the advertised address."""
     async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session:
         node = Node(path, session)
@@ -122,7 +123,7 @@
         job_service.attach(entry.scheduler)
         app = job_app.JobApp(job_service, node.cache, entry, node.counters, node.journal)
         readiness = job_app.ReadinessApp(app, node.counters)
-        link = link_listen or node_settings.Address(f"{settings.host}:{settings.link_port}")
+        link = link_listen or network_address.Address(f"{settings.host}:{settings.link_port}")
         server = node.create_server("front", app, 60)
         other_servers = [node.create_server("ready", readiness, 60)]
         if settings.listen_address("control") is not None:
@@ -239,11 +240,11 @@
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.option(
     "--link-listen",
-    type=node_settings.Address,
+    type=network_address.Address,
     metavar="HOST:PORT",
     help="Address to listen on for agents, if they connect through a proxy at the advertised address.",
 )
-def main(role: str, check: bool, link_listen: node_settings.Address | None) -> None:
+def main(role: str, check: bool, link_listen: network_address.Address | None) -> None:
     """Run a cactusgauge process on the platform; CACTUSGAUGE_NODE_FILE is the path of its settings file."""
     logging.set_verbosity(logging.WARNING)
     for library in ("uvicorn", "websockets", "asyncio"):
--- a/src/cactusgauge/platform/node_settings.py
+++ b/src/cactusgauge/platform/node_settings.py
@@ -1,45 +1,49 @@
 """Reads the settings file that the platform writes for each process."""
 
-import json
 import pathlib
+from typing import Annotated
 
 import pydantic
 
 from cactusgauge import exceptions, ids
+from cactusgauge.platform import json_document, network_address
 
 SETTINGS_VARIABLE = "CACTUSGAUGE_NODE_FILE"
+MAX_GRACE_S = 86_400.0  # one day; no stop of a process takes longer
 
 
 class _Bounds(pydantic.BaseModel):
-    max_hold_ms: float = 1000.0
-    stop_ms: float = 50.0
-    retry_ms: float = 1300.0
-    grace_s: float = 6.0
-    far_x: float = 1.5
+    max_hold_ms: json_document.IntervalMs = 1000.0
+    stop_ms: json_document.DurationMs = 50.0
+    retry_ms: json_document.DurationMs = 1300.0
+    grace_s: Annotated[json_document.Factor, pydantic.Field(le=MAX_GRACE_S)] = 6.0
+    far_x: json_document.Factor = 1.5
 
 
 class _Platform(pydantic.BaseModel):
-    address: str
+    address: network_address.AddressText
 
 
-class _SettingsFile(pydantic.BaseModel):
-    node: str
-    ip: str
-    zone: str
-    listen: dict[str, str]
-    port_range: tuple[int, int]
-    seeds: list[str] = []
-    heartbeat_ms: float = 1500.0
-    bounds: _Bounds = _Bounds()
-    platform: _Platform
+# An empty address means that there is none.
+_OptionalAddress = Annotated[network_address.AddressText | None, pydantic.BeforeValidator(lambda text: text or None)]
 
 
-class Address:
-    """An IP address and a port."""
+class _Listen(pydantic.BaseModel):
+    front: _OptionalAddress = None
+    ready: _OptionalAddress = None
+    control: _OptionalAddress = None
 
-    def __init__(self, text: str) -> None:
-        self.host, _, port = text.rpartition(":")
-        self.port = int(port)
+
+class _SettingsFile(pydantic.BaseModel):
+    node: json_document.Name
+    ip: json_document.Name
+    zone: json_document.Name
+    listen: _Listen
+    port_range: tuple[network_address.Port, network_address.Port]
+    seeds: list[network_address.AddressText] = []
+    heartbeat_ms: json_document.IntervalMs = 1500.0
+    bounds: _Bounds = _Bounds()
+    platform: _Platform
 
 
 class NodeSettings:
@@ -76,25 +80,26 @@
     @property
     def seed_link_urls(self) -> list[str]:
         """Link URLs of some entries; the ports in the file are for workers, so they are replaced by the link port."""
-        return [f"ws://{Address(seed).host}:{self.link_port}" for seed in self._file.seeds]
+        return [f"ws://{network_address.Address(seed).host}:{self.link_port}" for seed in self._file.seeds]
 
-    def listen_address(self, purpose: str) -> Address | None:
+    def listen_address(self, purpose: str) -> network_address.Address | None:
         """Return the listen address for `front`, `ready` or `control`, or None if the file has none."""
-        text = self._file.listen.get(purpose)
-        return Address(text) if text else None
+        text: str | None = getattr(self._file.listen, purpose)
+        return network_address.Address(text) if text else None
 
 
 def load(path: pathlib.Path) -> NodeSettings:
     """Return the settings of a file; raise a `SettingsError` that lists all errors in it."""
     try:
-        return NodeSettings(_SettingsFile.model_validate(json.loads(path.read_bytes())))
+        content = path.read_bytes()
     except OSError as error:
         raise exceptions.SettingsError(f"{path}: cannot be read: {error.strerror}") from error
-    except pydantic.ValidationError as error:
-        lines = [
-            f"{path}: {'.'.join(str(part) for part in each['loc'])}: {each['msg']}"
-            for each in error.errors(include_url=False)
-        ]
-        raise exceptions.SettingsError("\n".join(lines)) from error
-    except ValueError as error:
-        raise exceptions.SettingsError(f"{path}: is not JSON: {error}") from error
+    return decode(path, content)
+
+
+def decode(path: pathlib.Path, content: bytes) -> NodeSettings:
+    """Return the settings in the content of a file; raise a `SettingsError` that lists all errors in it."""
+    try:
+        return NodeSettings(json_document.read(_SettingsFile, content))
+    except json_document.UnreadableError as error:
+        raise exceptions.SettingsError("\n".join(f"{path}: {finding}" for finding in error.findings)) from error
--- a/src/cactusgauge/platform/settings_watcher.py
+++ b/src/cactusgauge/platform/settings_watcher.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from cactusgauge import observability
 
+MAX_LOGGED_ERROR_LENGTH = 500  # characters; a file may have any number of faults
 POLL_INTERVAL_S = 1.0  # the platform may change the file without sending a signal
 
 
@@ -19,8 +20,9 @@
     def __init__(self, path: pathlib.Path, journal: "observability.Journal") -> None:
         self._path = path
         self._journal = journal
-        self._content = path.read_bytes()
-        self._current = node_settings.load(path)
+        self._content = path.read_bytes()  # the last one that was read, whether or not it was usable
+        self._current = node_settings.decode(path, self._content)
+        self._is_readable = True
 
     @property
     def current(self) -> node_settings.NodeSettings:
@@ -31,13 +33,20 @@
         """Apply the settings in the file; keep the current ones if the file is invalid or unchanged."""
         try:
             content = self._path.read_bytes()
-            if content == self._content:
-                return
-            self._current = node_settings.load(self._path)
-        except (OSError, exceptions.SettingsError) as error:
-            self._journal.record_state("settings_unusable", error=str(error))
+        except OSError as error:
+            if self._is_readable:
+                self._journal.record_state("settings_unusable", error=str(error))
+            self._is_readable = False
+            return
+        self._is_readable = True
+        if content == self._content:
             return
         self._content = content
+        try:
+            self._current = node_settings.decode(self._path, content)
+        except exceptions.SettingsError as error:
+            self._journal.record_state("settings_unusable", error=str(error)[:MAX_LOGGED_ERROR_LENGTH])
+            return
         self._journal.record_state("settings_reloaded", seeds=len(self._current.seed_link_urls))
 
     async def run(self) -> None:
