Read past odd records in the export and audit of accounts

Cause: a deeply nested record raised RecursionError in the audit, infinite values were accepted, and a line break in a record of another writer made the exported file unreadable.

Evidence: 4 of the new tests failed on the old source: a nested record, an infinite time, an infinite value, and the export of a record with line breaks.

Such records are now malformed findings, and a line break is exported as a space, which means the same in JSON.

--- a/src/cactusgauge/accounting/account_record.py
+++ b/src/cactusgauge/accounting/account_record.py
@@ -50,7 +50,7 @@
     planned stop, after which the process counts nothing more.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
     process: str
     role: str
@@ -83,7 +83,7 @@
             record = cls.model_validate(document["record"])
             own_hash = record.hash
             return record, own_hash if own_hash == document["hash"] else None
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError, OverflowError) as error:
             raise exceptions.AccountingError("not an accounting record") from error
 
     def _canonical(self) -> bytes:
--- a/src/cactusgauge/accounting/file_account_log.py
+++ b/src/cactusgauge/accounting/file_account_log.py
@@ -45,4 +45,6 @@
     @staticmethod
     def format_line(stream: str, record: log_service.LogRecord) -> bytes:
         """Return the line of the export file for a record."""
-        return SEPARATOR.join((stream.encode(), b"%d" % record.offset, record.data)) + b"\n"
+        # A line break in a record of another writer would make the rest of the file unreadable; to JSON it is a space.
+        data = record.data.replace(b"\n", b" ")
+        return SEPARATOR.join((stream.encode(), b"%d" % record.offset, data)) + b"\n"
