Open a new connection for each call to the store

Cause: one time-out for each idle connection of a pool, one after the other. The follower waited 2.25 s for its silent long poll, and its next call took an idle connection of the session's pool, which had gone silent too.

Change: the sessions for the store reuse no connection, so only the call in flight can be lost, however many calls were made before. Long poll (1.0 s), its margin (0.6 s), the first delay (0.1 s) and a call while the store is slow (0.25 s) add up to 1.95 s, below the 2.0 s of `config_apply_ms`; `store.SILENCE_BOUND_S` is the sum, and a test fails when it passes 2.0 s. An entry without changes now makes 1 long poll a second instead of 2 in 3 s, and each call opens a connection. Calls of agents to workers keep their pool.

The tests in tests/unit/platform and of the operators' page pass; the whole suite and the soak were not run.

--- a/src/cactusgauge/fleet/config_follower.py
+++ b/src/cactusgauge/fleet/config_follower.py
@@ -10,8 +10,8 @@
 
     from cactusgauge.fleet import config_cache
 
-LONG_POLL_S = 1.5  # longest wait of a request; a dead connection is noticed in time for a change to take effect
-RETRY_S = 0.25  # first delay after a failed request; doubled with each further failure
+LONG_POLL_S = 1.0  # longest wait of a request
+RETRY_S = 0.1  # first delay after a failed request; doubled with each further failure
 MAX_RETRY_S = 1.0
 
 
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -104,7 +104,7 @@
 
 async def run_entry(path: pathlib.Path, link_listen: node_settings.Address | None) -> None:
     """Run an entry until a stop signal; links are accepted at `link_listen`, by default the advertised address."""
-    async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session:
+    async with store.new_session() as session:
         node = Node(path, session)
         settings = node.settings
         job_service = fleet.ParallelJobService(node.counters, node.journal)
@@ -150,7 +150,7 @@
 async def run_agent(path: pathlib.Path) -> None:
     """Run an agent until a stop signal."""
     async with (
-        aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session,
+        store.new_session() as session,
         http_worker_client.new_session() as worker_session,
     ):
         node = Node(path, session)
--- a/src/cactusgauge/platform/store.py
+++ b/src/cactusgauge/platform/store.py
@@ -7,9 +7,15 @@
 import aiohttp
 
 from cactusgauge import fleet
+from cactusgauge.fleet import config_follower
 
 CALL_TIMEOUT_S = 1.5
-WAIT_TIMEOUT_MARGIN_S = 0.75  # added to the time that the store was asked to wait for a record
+WAIT_TIMEOUT_MARGIN_S = 0.6  # added to the time that the store was asked to wait for a record
+SLOW_CALL_S = 0.25  # longest time of a call on a new connection, while the store is slow
+# From the silence of all open connections to the newest configuration: a call in flight, then one on a new connection.
+SILENCE_BOUND_S = (
+    max(config_follower.LONG_POLL_S + WAIT_TIMEOUT_MARGIN_S, CALL_TIMEOUT_S) + config_follower.RETRY_S + SLOW_CALL_S
+)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 ENTRY_TOPIC = "keyed.entries"
@@ -19,6 +25,14 @@
 MAX_PAGES = 50
 
 
+def new_session() -> aiohttp.ClientSession:
+    """Return an HTTP session for the calls to the store.
+
+    No connection is used twice: idle ones may go silent unnoticed, and each would cost a time-out.
+    """
+    return aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), connector=aiohttp.TCPConnector(force_close=True))
+
+
 class Store(fleet.ConfigStore, fleet.EntryDirectory):
     """Reads the configuration and stores the addresses of entries; failed HTTP calls are not retried here."""
 
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import random
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -7,12 +8,16 @@
 
 from cactusgauge import fleet
 from cactusgauge.platform import config_document, store
+from tests.soak import proxy
 from tests.unit.fleet import conftest as fleet_conftest
 from tests.unit.platform import fake_store
 
 if TYPE_CHECKING:
     from collections import abc
 
+CONFIG_APPLY_S = 2.0  # the platform's `config_apply_ms`
+SLOWEST_ANSWER_S = 0.24  # of the store: 60 times the usual 4 ms
+
 
 @contextlib.asynccontextmanager
 async def _store() -> "abc.AsyncIterator[tuple[fake_store.FakeStore, store.Store]]":
@@ -97,6 +102,40 @@
     assert events == ["store_lost", "store_regained"]
 
 
+async def test_configuration_is_in_force_soon_after_all_connections_went_silent() -> None:
+    """Guards against one time-out for each idle connection of the pool, one after the other."""
+    fake = fake_store.FakeStore()
+    cache = fleet.ConfigCache(config_document.decode, lambda event, **fields: None)
+    host, port, proxy_port = "127.0.0.1", fleet_conftest.free_port(), fleet_conftest.free_port()
+    async with (
+        fake_store.serve_app(fake, port, host),
+        proxy.Proxy((host, proxy_port), (host, port)) as connections,
+        store.new_session() as session,
+    ):
+        client = store.Store(session, f"http://{host}:{proxy_port}")
+        fake.put("keyed.op", "config", fake_store.config_body(1))
+        await asyncio.gather(*(client.publish(f"ws://10.0.0.{number}:7000") for number in range(4)))
+        follower = asyncio.create_task(fleet.ConfigFollower(client, cache, lambda event, **fields: None).run())
+        await fleet_conftest.until(lambda: cache.version == 1)
+        fake.put("keyed.op", "config", fake_store.config_body(2))
+        await fleet_conftest.until(lambda: cache.version == 2)
+        await asyncio.sleep(0.05)  # the next poll is in flight
+        connections.silence(1.0, random.Random(1))
+        fake.put("keyed.op", "config", fake_store.config_body(3))
+        await fleet_conftest.until(lambda: cache.version == 3, CONFIG_APPLY_S)
+        follower.cancel()
+
+
+def test_silence_is_over_before_a_configuration_must_be_in_force() -> None:
+    """Guards against time-outs that together are longer than a configuration may take to be in force."""
+    assert store.SILENCE_BOUND_S < CONFIG_APPLY_S
+
+
+def test_slow_store_is_waited_for() -> None:
+    """Guards against time-outs that take a store on a bad day for a silent connection."""
+    assert min(store.WAIT_TIMEOUT_MARGIN_S, store.CALL_TIMEOUT_S, store.SLOW_CALL_S) > SLOWEST_ANSWER_S
+
+
 @pytest.mark.parametrize(
     "row",
     [
