--- a/src/cactusgauge/platform/store.py
+++ b/src/cactusgauge/platform/store.py
@@ -8,13 +8,19 @@
 import pydantic
 
 from cactusgauge import fleet
+from cactusgauge.fleet import config_follower
 from cactusgauge.platform import json_document, network_address
 
 if TYPE_CHECKING:
     from collections import abc
 
 CALL_TIMEOUT_S = 1.5
-WAIT_TIMEOUT_MARGIN_S = 0.75  # added to the time that the store was asked to wait for a record
+WAIT_TIMEOUT_MARGIN_S = 0.6  # added to the time that the store was asked to wait for a record
+SLOW_CALL_S = 0.25  # longest time of a call on a new connection, while the store is slow
+# From the silence of all open connections to the newest configuration: a call in flight, then one on a new connection.
+SILENCE_BOUND_S = (
+    max(config_follower.LONG_POLL_S + WAIT_TIMEOUT_MARGIN_S, CALL_TIMEOUT_S) + config_follower.RETRY_S + SLOW_CALL_S
+)
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
 ENTRY_TOPIC = "keyed.entries"
@@ -43,6 +49,14 @@
     end: json_document.Count
 
 
+def new_session() -> aiohttp.ClientSession:
+    """Return an HTTP session for the calls to the store.
+
+    No connection is used twice: idle ones may go silent unnoticed, and each would cost a time-out.
+    """
+    return aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar(), connector=aiohttp.TCPConnector(force_close=True))
+
+
 class Store(fleet.ConfigStore, fleet.EntryDirectory):
     """Reads the configuration and stores the addresses of entries; failed HTTP calls are not retried here."""
 
