--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -70,13 +70,13 @@
             return
         is_answered = False
 
-        async def send_once(message: dict[str, Any]) -> None:
+        async def tracked_send(message: dict[str, Any]) -> None:
             nonlocal is_answered
             is_answered = True
             await send(message)
 
         try:
-            await self._serve(scope, receive, send_once)
+            await self._serve(scope, receive, tracked_send)
         except Exception as error:
             self._journal.log_event(
                 "request_failed", path=self._path(scope), error=f"{type(error).__name__}: {error}"[:200]
