--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -273,7 +273,7 @@
                 if key not in held:
                     end = scheduling.RunEnd(key, scheduling.EndKind.LOST, 0.0, "never_received")
                     self._scheduler.end_run(hello.agent, end, now)
-        # A stop that was requested without a link, or lost with one, must reach the agent with the first grant of the new link.
+        # A stop that was requested without a link, or lost with one, must arrive with the first grant of the new link.
         unwanted = self._scheduler.unwanted_runs(hello.agent, hello.held)
         if unwanted:
             self._journal.log_event("stops_repeated", agent=hello.agent, runs=len(unwanted))
