Report a crash of a worker once for each run

Cause: when a worker restarts under its id, its runs stay in the registry until a listing shows that they are gone. If it restarts again before that, here 29 ms later under another id, the same runs were reported as at work in a second crash, and two crashes under a task end its job.

Change: a run that was reported in a crash is left out of later ones, unless its start is sent again, which may start it on the new incarnation.

The new test fails before (two crashes reported) and passes now.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -259,6 +259,7 @@
             self._stop_expired_grants()
             if self._registry.get(run.key) is not run or run.phase is not run_registry.RunPhase.STARTING:
                 return
+            run.is_crash_reported = False  # the request may start it on a worker that has restarted
             try:
                 with lease.extension() as lease_until_s:
                     reply = await client.start(
@@ -485,7 +486,8 @@
 
     def _report_crash(self) -> None:
         """Report the tasks on a worker that has crashed; one that was draining has stopped as planned."""
-        runs = self._registry.runs
+        # Runs of a worker that restarted under its id stay in the registry until a listing shows that they are gone.
+        runs = [run for run in self._registry.runs if not run.is_crash_reported]
         if not runs or (self._heartbeat is not None and self._heartbeat.is_draining):
             return
         crashed_at = self._failing_since if self._failing_since is not None else asyncio.get_running_loop().time()
@@ -504,6 +506,8 @@
             unconfirmed=" ".join(str(task) for task in tasks.unconfirmed),
             others=len(tasks.others),
         )
+        for run in runs:
+            run.is_crash_reported = True
         self._observer.on_worker_crashed(self._generation, tasks)
 
     def _mark_down(self) -> None:
--- a/src/cactusgauge/runs/run_registry.py
+++ b/src/cactusgauge/runs/run_registry.py
@@ -37,7 +37,7 @@
 
     `first_conclusive_listing` is the number of the first listing that proves the run gone if it does not contain it;
     None while the reply to its start or stop is awaited. `is_confirmed` tells whether the worker has certainly started
-    the run.
+    the run, `is_crash_reported` whether a crash of the worker during the run was reported.
     """
 
     __slots__ = (
@@ -45,6 +45,7 @@
         "expected_s",
         "first_conclusive_listing",
         "is_confirmed",
+        "is_crash_reported",
         "key",
         "owner",
         "phase",
@@ -59,6 +60,7 @@
         self.expected_s = new.expected_s
         self.phase = RunPhase.STARTING
         self.is_confirmed = False
+        self.is_crash_reported = False
         self.started_at = now
         self.stop_reason = ""
         self.first_conclusive_listing: int | None = None
--- a/tests/unit/runs/test_run_controller.py
+++ b/tests/unit/runs/test_run_controller.py
@@ -464,6 +464,23 @@
     assert harness.crashes == [([conftest.run_key().task], [], [])]
 
 
+async def test_crash_of_a_worker_that_restarts_twice_is_reported_once() -> None:
+    """Guards against a job that is given up for two crashes although its task was started once.
+
+    A restart under the same id keeps the runs until a listing shows that they are gone.
+    """
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key())
+        await asyncio.sleep(0.02)
+        harness.worker.restart()
+        harness.send_heartbeat(incarnation=2, sequence=1)
+        harness.send_heartbeat(incarnation=3, sequence=1, worker="w2")
+        await harness.renew_grant(0.2)
+    assert harness.crashes == [([conftest.run_key().task], [], [])]
+    assert harness.end_kinds() == [LOST]
+
+
 async def test_worker_that_leaves_as_planned_has_not_crashed() -> None:
     """Guards against jobs that are given up because their workers were taken away."""
     harness = conftest.ControllerHarness(duration_s=10.0)
