Do not count a start that another worker refused as one before a crash

Cause: a worker that has restarted at the same address answers a start that is meant for its predecessor with a refusal. The agent then took the run for lost in a crash just after its start, although the only request for it was refused.

Change: a run whose first start request was refused in this way has not started.

Evidence: the new test fails before (the task is named as the cause of a crash) and passes now.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -276,6 +276,8 @@
                 self._record_failure()
                 continue
             except worker_client.WrongWorkerError:
+                if attempt == 0 and self._registry.get(run.key) is run:
+                    self._end_run(run, scheduling.EndKind.NOT_STARTED, "worker_gone")
                 self._handle_worker_gone(client)
                 return
             self._failing_since = None
--- a/tests/unit/runs/test_run_controller.py
+++ b/tests/unit/runs/test_run_controller.py
@@ -481,6 +481,26 @@
     assert harness.end_kinds() == [LOST]
 
 
+async def test_start_that_another_worker_refused_has_crashed_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a job that is given up for a crash before its task was started.
+
+    A worker that has restarted at the same address refuses requests for its predecessor.
+    """
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key(0))
+        await asyncio.sleep(0.2)
+
+        async def refuse(request: runs.StartRequest) -> runs.StartReply:
+            raise runs.WrongWorkerError("another worker answers")
+
+        monkeypatch.setattr(harness.worker, "start", refuse)
+        harness.start(conftest.run_key(1))
+        await asyncio.sleep(0.05)
+    assert harness.crashes == [([], [], [conftest.run_key(0).task])]
+    assert harness.end_kinds() == [scheduling.EndKind.NOT_STARTED, LOST]
+
+
 async def test_worker_that_leaves_as_planned_has_not_crashed() -> None:
     """Guards against jobs that are given up because their workers were taken away."""
     harness = conftest.ControllerHarness(duration_s=10.0)
