Leave addresses that can't be dialled out of the known entries

Agents link to all of up to four known entries and otherwise to three, chosen by a hash, so that addresses such as `http://[` or ws://10.0.0.1:99999 took places among them.

Change: KnownEntries ignores addresses that can't be dialled, whoever lists them.

--- a/src/cactusgauge/fleet/known_entries.py
+++ b/src/cactusgauge/fleet/known_entries.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from cactusgauge.fleet import messages
+
 if TYPE_CHECKING:
     from collections import abc
 
@@ -17,10 +19,13 @@
         self._confirmed_at: dict[str, float] = {}
 
     def confirm(self, link_urls: "abc.Iterable[str]") -> bool:
-        """Record that these entries were just reported as alive; return whether one of them is new."""
+        """Record that these entries were just reported as alive; return whether one of them is new.
+
+        URLs that can't be dialled are left out, as they would take the places of entries among an agent's links.
+        """
         now = asyncio.get_running_loop().time()
         added = False
-        for url in link_urls:
+        for url in filter(messages.is_link_url, link_urls):
             added = added or url not in self._confirmed_at
             self._confirmed_at[url] = now
         return added
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -16,16 +16,24 @@
 MAX_LISTED_ENTRIES = 1_000  # many times the number of entries at the target size
 
 
+def is_link_url(url: str) -> bool:
+    """Return whether a URL can be dialled."""
+    try:
+        parts = urllib.parse.urlsplit(url)
+        return parts.scheme in ("ws", "wss") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
 def _check_link_url(url: str) -> str:
-    """Return a link URL; raise `ValueError` if it cannot be dialled."""
-    parts = urllib.parse.urlsplit(url)
-    if parts.scheme not in ("ws", "wss") or not parts.hostname or parts.port == 0:
+    if not is_link_url(url):
         raise ValueError("not a WebSocket URL")
     return url
 
 
 LinkUrl = Annotated[str, pydantic.AfterValidator(_check_link_url)]
-# Not validated one by one: an odd URL that an entry has learned from another must not end its own links.
+# Not validated one by one: an odd URL that an entry has learned from another must not end its own links. `KnownEntries`
+# leaves it out.
 LinkUrls = Annotated[list[str], pydantic.Field(max_length=MAX_LISTED_ENTRIES)]
 
 
