Use no worker before its first report on a new link

Callers saw a task on a worker without the label that its step requires (ROUTE): the worker had come back as another kind while its agent was cut off, and within 0.1 s of the end of the cut the entry started the waiting tasks there.

Cause: a new link sets the worker unreachable until its first report, but the next tick, up to 25 ms later, undid this for every agent whose process was known (`generation >= 0`). Until the report came, up to 150 ms later, tasks were placed by the report from before the cut.

Change: an agent counts as reachable only once the current link has brought a report. The agent sends it together with its hello, so a new link is used earlier than before.

The new test failed before the change in 3 of 3 runs and holds after it.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -312,7 +312,7 @@
             self._send_hello(link, hello, self._controller)
             self._connections[url] = current
             self._journal.record_state("entry_linked", entry=hello.entry, link_url=url)
-            self.on_report_changed()
+            self._post_report([current])  # the entry starts nothing here before it
             try:
                 while True:
                     self._handle_message(current, await link.receive(), self._controller)
--- a/src/cactusgauge/fleet/agent_peer.py
+++ b/src/cactusgauge/fleet/agent_peer.py
@@ -22,7 +22,8 @@
 
     `stamp` is the newest stamp of the agent, in seconds of its clock. `granted_at` is the time on the entry's clock at
     which the stamp of the last grant arrived. `acknowledged_end` is the number of the last end that was handled, and
-    `generation` that of the last worker report, -1 before the first one.
+    `generation` that of the last worker report, -1 before the first one. `has_reported` tells whether the current link
+    has brought a report; an earlier one may describe a worker that was replaced meanwhile.
     """
 
     def __init__(self, name: "ids.AgentName", incarnation: "ids.AgentIncarnation") -> None:
@@ -34,6 +35,7 @@
         self.granted_at = now
         self.acknowledged_end = 0
         self.generation = -1
+        self.has_reported = False
         self.is_lost = False
         self.earlier_runs_end_at = now  # until then, runs of an earlier process of the agent may continue
         self._stamp_received_at = now
@@ -125,6 +127,7 @@
         self._prepared_starts.clear()
         self._sent_starts.clear()
         self._sent_entries = []
+        self.has_reported = False
         self.link = link
 
     def detach(self) -> None:
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -318,6 +318,7 @@
                 # Once the worker is reported, all runs of an earlier agent process are gone.
                 self._mark_earlier_runs_lost(peer, now)
             peer.generation = report.generation
+        peer.has_reported = True
         view.is_reachable = True
         peer.is_lost = False
         self._scheduler.update_worker(view, report, message.handled_start, now)
@@ -393,7 +394,7 @@
             if view.is_reachable:
                 view.is_reachable = False
                 self._journal.log_event("agent_suspected", agent=peer.name)
-        elif peer.generation >= 0:
+        elif peer.has_reported:
             view.is_reachable = True
         silent_s = now - peer.granted_at
         if silent_s > self._timing.runs_gone_after_s and not peer.is_lost:
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -109,11 +109,11 @@
         await self.link_server.run(HOST, self.port)
 
     async def submit(
-        self, name: str, tasks: int = 1, disconnected: asyncio.Event | None = None
+        self, name: str, tasks: int = 1, disconnected: asyncio.Event | None = None, required_label: str = ""
     ) -> fleet.JobAnswer | None:
         """Submit a job and return its answer."""
         now = asyncio.get_running_loop().time()
-        steps = [scheduling.Step(tasks, scheduling.Resources(1000, 10), 0.1)]
+        steps = [scheduling.Step(tasks, scheduling.Resources(1000, 10), 0.1, required_label=required_label)]
         new = fleet.NewJob(ids.JobKey(name), QUEUE, steps, "payload", now + 8)
         event = disconnected or asyncio.Event()
 
@@ -130,7 +130,9 @@
         self.duration_s = 0.1
         self.restart_after_s = 0.8  # of a crashed worker
         self.worker = leased_worker.LeasedWorker(lambda key: self.duration_s)
+        self.labels: tuple[str, ...] = ()
         self.name = name
+        self._sequence = 0
         counters = observability.Counters()
         journal = observability.Journal(name, counters, descriptor=-1)
         self.cache = fleet.ConfigCache(decode, journal.record_state)
@@ -150,27 +152,36 @@
         """Run until cancelled and send heartbeats of the worker to the controller."""
         async with self.link_client, self.controller, asyncio.TaskGroup() as group:
             group.create_task(self.link_client.run(self.controller))
-            sequence = 0
             while True:
                 if self.worker.is_down:
                     await asyncio.sleep(self.restart_after_s)
                     self.worker.restart()
-                sequence += 1
-                self.controller.handle_heartbeat(
-                    runs.WorkerHeartbeat(
-                        ids.WorkerId(self.name),
-                        self.worker.incarnation,
-                        sequence,
-                        ids.ServiceName("s"),
-                        "10.0.0.1:80",
-                        False,
-                        scheduling.Resources(4000, 1000),
-                        (),
-                        self.worker.clock_s,
-                    )
-                )
+                self.send_heartbeat()
                 await asyncio.sleep(HEARTBEAT_S)
 
+    def send_heartbeat(self) -> None:
+        """Send a heartbeat of the worker to the controller."""
+        self._sequence += 1
+        self.controller.handle_heartbeat(
+            runs.WorkerHeartbeat(
+                ids.WorkerId(self.name),
+                self.worker.incarnation,
+                self._sequence,
+                ids.ServiceName("s"),
+                "10.0.0.1:80",
+                False,
+                scheduling.Resources(4000, 1000),
+                self.labels,
+                self.worker.clock_s,
+            )
+        )
+
+    def restart_worker(self, labels: tuple[str, ...]) -> None:
+        """Restart the worker as another kind and let it send its first heartbeat."""
+        self.worker.restart()
+        self.labels = labels
+        self.send_heartbeat()
+
 
 @contextlib.asynccontextmanager
 async def running(*parts: "Entry | Agent") -> "abc.AsyncIterator[dict[Entry | Agent, asyncio.Task[None]]]":
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -70,6 +70,29 @@
         await conftest.until(lambda: not agent.worker.running, 1.3)
 
 
+async def test_no_worker_is_used_before_its_first_report_on_a_new_link(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a start on a worker without the required label, chosen by the report from before a cut."""
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    agent.labels = ("old",)
+    async with conftest.running(entry, agent):
+        await conftest.until(lambda: entry.link_server.has_workers)
+        (peer,) = entry.link_server._peers.values()
+        assert peer.link is not None
+        peer.link.abort()
+        await conftest.until(lambda: peer.link is None)
+        agent.restart_worker(("new",))
+        with monkeypatch.context() as patch:
+            patch.setattr(agent.link_client, "_post_report", lambda connections: None)
+            submitting = asyncio.create_task(entry.submit("j", required_label="old"))
+            await conftest.until(lambda: peer.link is not None)
+            await asyncio.sleep(0.2)
+            assert not entry.link_server.has_workers
+        await conftest.until(lambda: entry.link_server.has_workers)
+        submitting.cancel()
+    assert not agent.worker.starts
+
+
 async def test_job_of_a_lost_entry_runs_once_at_a_time_at_another_one() -> None:
     """Guards against two simultaneous runs of a task when a caller sends the job of a lost entry to another entry."""
     lost = conftest.Entry("e1", [])
