Name the worker's incarnation in each start

Callers would see a task on a worker without the required label (ROUTE), or over its capacity (LIMIT), also without a cut: a worker that comes back as another kind within the time between two reports, 60 to 150 ms, was still chosen by its earlier report, and its agent started the task on whatever worker it had by then.

Cause: `StartRun` named neither the worker nor its incarnation, so the agent could not tell a start that was decided for the earlier one.

Change: a start carries the generation of the report by which its worker was chosen; the agent refuses any other one as `worker_changed`, before anything is sent to the worker, and the entry places the task again by the report that the refusal brings. The messages change, so the protocol version is 5.

Evidence: the new test of the fleet failed before the change (the task started on the worker of the new kind) and holds after it.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -359,7 +359,12 @@
             for start in message.starts:
                 outbox.record_start(start.number)
                 new = runs.NewRun(
-                    start.key, connection.incarnation, start.demand, start.expected_ms / 1000, start.payload
+                    start.key,
+                    connection.incarnation,
+                    start.generation,
+                    start.demand,
+                    start.expected_ms / 1000,
+                    start.payload,
                 )
                 if self._is_trial_running(new, controller):
                     # Another entry has just started a suspect; if the worker crashes now, the cause must be known.
--- a/src/cactusgauge/fleet/agent_peer.py
+++ b/src/cactusgauge/fleet/agent_peer.py
@@ -83,7 +83,8 @@
         self._next_start += 1
         self._unhandled_starts.append(number)
         self._sent_starts[key] = (number, demand)
-        self._prepared_starts.append(messages.StartRun(number, key, demand, round(expected_s * 1000, 1), payload))
+        start = messages.StartRun(number, self.generation, key, demand, round(expected_s * 1000, 1), payload)
+        self._prepared_starts.append(start)
         return number
 
     def flush_starts(self) -> None:
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -12,7 +12,7 @@
 
 from cactusgauge import ids, scheduling
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 MAX_LISTED_ENTRIES = 1_000  # many times the number of entries at the target size
 
 
@@ -111,9 +111,13 @@
 
 
 class StartRun(NamedTuple):
-    """One run to start; `number` increases separately for each agent incarnation."""
+    """One run to start; `number` increases separately for each agent incarnation.
+
+    `generation` is that of the report by which the worker was chosen; the agent refuses the run for any other one.
+    """
 
     number: int
+    generation: int
     key: ids.RunKey
     demand: scheduling.Resources
     expected_ms: float
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -18,6 +18,7 @@
 RECENT_START_S = 0.1  # a task that crashes the worker that starts it does so within this time
 MAX_TOKEN = 2**53  # largest integer that every JSON parser represents exactly
 NO_REPLY = "no_reply"
+WORKER_CHANGED = "worker_changed"  # the run was meant for an earlier incarnation, possibly of another kind
 
 
 class RunObserver(abc.ABC):
@@ -183,7 +184,7 @@
     def start(self, new: run_registry.NewRun, stamped_at: float) -> None:
         """Start a run for an entry; `stamped_at` is the newest time of this agent's clock that the entry had."""
         now = asyncio.get_running_loop().time()
-        refusal = self._refusal_reason(stamped_at, now) or self._registry.admit(new, now)
+        refusal = self._refusal_reason(new.generation, stamped_at, now) or self._registry.admit(new, now)
         if refusal:
             self._observer.on_run_ended(
                 new.owner, scheduling.RunEnd(new.key, scheduling.EndKind.NOT_STARTED, 0.0, refusal)
@@ -212,7 +213,9 @@
         """Stop all runs of a job, whoever owns them."""
         self.stop([run.key for run in self._registry.runs if run.key.job == job], "canceled")
 
-    def _refusal_reason(self, stamped_at: float, now: float) -> str:
+    def _refusal_reason(self, generation: int, stamped_at: float, now: float) -> str:
+        if generation != self._generation:
+            return WORKER_CHANGED
         phase = self.phase
         if phase is not scheduling.WorkerPhase.READY:
             return f"worker_{phase.value}"
--- a/src/cactusgauge/runs/run_registry.py
+++ b/src/cactusgauge/runs/run_registry.py
@@ -23,10 +23,14 @@
 
 
 class NewRun(NamedTuple):
-    """A run that an entry asks for; `expected_s` is its duration on a worker of median speed."""
+    """A run that an entry asks for; `expected_s` is its duration on a worker of median speed.
+
+    `generation` is the number of the worker's incarnation that the entry has chosen, as in `WorkerReport`.
+    """
 
     key: ids.RunKey
     owner: ids.EntryIncarnation
+    generation: int
     demand: scheduling.Resources
     expected_s: float
     payload: str
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -93,6 +93,28 @@
     assert not agent.worker.starts
 
 
+async def test_start_that_was_chosen_for_an_earlier_worker_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a start on a worker that comes back as another kind between two reports, without any cut."""
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    agent.labels = ("old",)
+    async with conftest.running(entry, agent):
+        await conftest.until(lambda: entry.link_server.has_workers)
+        with monkeypatch.context() as patch:
+            patch.setattr(agent.link_client, "_post_report", lambda connections: None)
+            agent.restart_worker(("new",))
+            await conftest.until(lambda: agent.controller.phase is scheduling.WorkerPhase.READY)
+            submitting = asyncio.create_task(entry.submit("j", required_label="old"))
+            await asyncio.sleep(0.2)
+        await conftest.until(
+            lambda: any("new" in view.report.labels for view in entry.link_server.workers if view.report)
+        )
+        await asyncio.sleep(0.2)
+        submitting.cancel()
+    assert entry.counters.get("runs_started", "", "a") >= 1
+    assert not agent.worker.starts
+
+
 async def test_job_of_a_lost_entry_runs_once_at_a_time_at_another_one() -> None:
     """Guards against two simultaneous runs of a task when a caller sends the job of a lost entry to another entry."""
     lost = conftest.Entry("e1", [])
--- a/tests/unit/fleet/test_fleet_codec.py
+++ b/tests/unit/fleet/test_fleet_codec.py
@@ -25,7 +25,7 @@
     messages.Report(1.5, 1, REPORT),
     messages.Ends([END]),
     messages.Grant(1.5, 1, 1, []),
-    messages.Starts(1.5, [messages.StartRun(1, KEY, AMOUNTS, 100.0, "payload")]),
+    messages.Starts(1.5, [messages.StartRun(1, 1, KEY, AMOUNTS, 100.0, "payload")]),
     messages.Stops([KEY], "canceled"),
     messages.CancelJob(KEY.job),
     messages.DocumentRequest(1),
--- a/tests/unit/runs/conftest.py
+++ b/tests/unit/runs/conftest.py
@@ -51,6 +51,7 @@
         is_draining: bool = False,
         cores: int = 4,
         worker: str = "w",
+        address: str = "10.0.0.1:80",
     ) -> bool:
         """Send a heartbeat of the worker to the controller, with the next sequence number if none is given.
 
@@ -63,7 +64,7 @@
                 incarnation,
                 self._sequence if sequence is None else sequence,
                 ids.ServiceName("s"),
-                "10.0.0.1:80",
+                address,
                 is_draining,
                 scheduling.Resources(cores * 1000, 1000),
                 (),
@@ -74,7 +75,8 @@
     def start(self, key: ids.RunKey, cores: int = 1, stamped_at: float | None = None) -> None:
         """Start a run for the owner; `stamped_at` is the loop time of the agent's stamp, by default now."""
         now = asyncio.get_running_loop().time()
-        new_run = runs.NewRun(key, OWNER, scheduling.Resources(cores * 1000, 10), 0.2, "payload")
+        generation = self.controller.report().generation
+        new_run = runs.NewRun(key, OWNER, generation, scheduling.Resources(cores * 1000, 10), 0.2, "payload")
         self.controller.start(new_run, now if stamped_at is None else stamped_at)
 
     async def renew_grant(self, seconds: float) -> None:
--- a/tests/unit/scheduling/shared_fleet.py
+++ b/tests/unit/scheduling/shared_fleet.py
@@ -124,7 +124,7 @@
     def receive(self, entry: _Entry, order: _Order) -> None:
         """Start a run or refuse it."""
         self._handled[entry.owner] = order.number
-        new = runs.NewRun(order.run, entry.owner, order.demand, order.expected_s, "")
+        new = runs.NewRun(order.run, entry.owner, 1, order.demand, order.expected_s, "")
         refusal = self.registry.admit(new, self._model.now)
         if refusal:
             self._model.misses += 1
