Stop the runs of an earlier incarnation at the one that follows it

A worker may start again under the id that it had, also as another kind, and then accepts requests that were meant for the earlier incarnation.

- A start whose reply was lost was repeated at the new incarnation.
- A run that had reached the new incarnation before its agent knew of it went on there to its end.
- A stop went on at the earlier address if the worker came back at another one, so that its run, and its capacity, were kept for good.
By reading, the same happened after a 421 from an earlier address.

Cause: the runs of the earlier incarnation kept their state, which says what that one was asked, not what the present one knows.

Change: with a new incarnation under the same id, all its agent's runs are stopped there, which also lets it reject starts that are still under way, and they are kept until it no longer lists them. A stop counts only if the incarnation did not change before its reply, and always goes to the present client.

What remains: a start sent after the new incarnation listens and before its first heartbeat is handled still reaches it, as `Expect-Instance` holds only the id; it is stopped with the next listing.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -232,8 +232,8 @@
         """Send requests to a new incarnation of the worker from now on.
 
         A worker accepts only requests that name its id. So the runs of a worker with another id are gone. Requests for
-        the same id may have reached the new incarnation, so their runs are kept until a listing shows that they are
-        gone.
+        the same id may have reached the new incarnation, or may still do so, although it may be of another kind. These
+        runs are stopped there, and kept until a listing shows that they are gone.
         """
         if is_same_worker:
             self._report_crash()
@@ -248,6 +248,8 @@
         self._is_recovered = False
         self._processed_end = self._acknowledged_end = 0
         self._registry.reset_speed(asyncio.get_running_loop().time())
+        for run in list(self._registry.runs):
+            self._begin_stop(run, run.stop_reason or WORKER_CHANGED)
         self._observer.log_event(
             "worker_announced", worker=worker, life=incarnation, token=self._token, same_id=is_same_worker
         )
@@ -320,12 +322,14 @@
         self._spawn(self._stop(run))
 
     async def _stop(self, run: run_registry.Run) -> None:
-        client = self._client
-        assert client is not None
         while self._registry.get(run.key) is run:
+            client, generation = self._client, self._generation
+            assert client is not None
             with contextlib.suppress(worker_client.WorkerCallError):
                 try:
                     await client.stop(run.key, self._token)
+                    if generation != self._generation:
+                        continue  # the reply says nothing of the present incarnation
                     run.first_conclusive_listing = self._listing_number + 1
                     self._poll_needed.set()
                     return
@@ -333,7 +337,6 @@
                     self._raise_token(error.clock_s)
                 except worker_client.WrongWorkerError:
                     self._handle_worker_gone(client)
-                    return
             await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _poll_forever(self) -> None:
--- a/tests/unit/runs/test_run_controller.py
+++ b/tests/unit/runs/test_run_controller.py
@@ -258,6 +258,53 @@
         assert {end.key for _, end in harness.ends} == {conftest.run_key(position=1), conftest.run_key(position=2)}
 
 
+async def test_start_is_not_repeated_at_a_worker_that_restarted_under_its_id() -> None:
+    """Guards against a start on a worker of another kind, as the retry of a lost request to the earlier one."""
+    harness = conftest.ControllerHarness(duration_s=5.0)
+    async with harness.serving():
+        harness.worker.delays_requests = True
+        harness.start(conftest.run_key())
+        await harness.renew_grant(0.05)
+        harness.worker.delays_requests = False
+        harness.worker.restart()
+        harness.send_heartbeat(incarnation=2, sequence=1)
+        await harness.renew_grant(0.5)
+        assert not harness.worker.starts
+    assert harness.end_kinds() == [LOST]
+
+
+async def test_run_that_reached_a_worker_restarted_under_its_id_is_stopped() -> None:
+    """Guards against a run that goes on at a worker of another kind, or beyond the capacity that was reported."""
+    harness = conftest.ControllerHarness(duration_s=5.0)
+    async with harness.serving():
+        harness.worker.restart()
+        harness.start(conftest.run_key())
+        await asyncio.sleep(0.01)
+        assert harness.worker.running == [conftest.run_key()]
+        harness.send_heartbeat(incarnation=2, sequence=1)
+        await harness.renew_grant(0.5)
+        assert not harness.worker.running
+    assert harness.end_reasons() == ["worker_changed"]
+
+
+async def test_stop_follows_a_worker_that_restarted_at_another_address() -> None:
+    """Guards against a run that is never stopped, and whose capacity is never free, as its stop goes to no worker."""
+    harness = conftest.ControllerHarness(duration_s=5.0)
+    async with harness.serving():
+        harness.start(conftest.run_key(), cores=4)
+        await harness.renew_grant(0.1)
+        earlier = harness.worker
+        earlier.crash()
+        harness.controller.stop([conftest.run_key()], "canceled")
+        await harness.renew_grant(0.1)
+        harness.worker = leased_worker.LeasedWorker(lambda key: 5.0, incarnation=2)
+        harness.send_heartbeat(incarnation=2, sequence=1, address="10.0.0.2:80")
+        await harness.renew_grant(0.5)
+        harness.start(conftest.run_key(1), cores=4)
+        await harness.renew_grant(0.1)
+        assert harness.worker.running == [conftest.run_key(1)]
+
+
 async def test_worker_that_restarted_under_its_id_does_not_fence_its_agent() -> None:
     """Guards against a new token that is lower than the one that a restarted worker has received from its agent."""
     harness = conftest.ControllerHarness()
