Let the lease end if a worker does not answer a stop

Callers would see two runs of a task at once (TWICE): a worker that leaves the stop of a run unanswered went on with it for as long as other runs there had their lease renewed, beyond the 1.3 s after which the caller of a lost connection hands its job in at another entry.

A lost `Stops` message is repeated with the next link, or the grant ends, but both only lead to a request to the worker, which was repeated without any bound. The time that the grant and the lease share out holds only if the lease is not renewed after the end of the grant.

Change: a run that its entry no longer waits for, or whose grant has ended, must have its stop confirmed within 50 ms; until it is, the agent extends the lease neither by renewals nor by starts and reports the worker as absent. So the run is gone with the lease, 1.25 s after the last grant. Stops for which the entry waits, as after a start without a reply, are exempt.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -95,7 +95,7 @@
         if self._heartbeat.incarnation != self._incarnation:
             return scheduling.WorkerPhase.ABSENT  # the new incarnation has not reported its capacity yet
         age_s = asyncio.get_running_loop().time() - self._heartbeat_at
-        if age_s > MISSED_HEARTBEATS * self._heartbeat_interval_s:
+        if age_s > MISSED_HEARTBEATS * self._heartbeat_interval_s or self._is_stop_overdue():
             return scheduling.WorkerPhase.ABSENT
         if self._heartbeat.is_draining or self._is_draining:
             return scheduling.WorkerPhase.DRAINING
@@ -203,10 +203,14 @@
         self._spawn(self._start(run, new))
 
     def stop(self, keys: "collections_abc.Iterable[ids.RunKey]", reason: str) -> None:
-        """Stop runs; unknown ones are ignored."""
+        """Stop runs, whose tasks may run elsewhere from now on; unknown ones are ignored."""
+        now = asyncio.get_running_loop().time()
         for key in keys:
             run = self._registry.get(key)
-            if run is not None and run.phase is not run_registry.RunPhase.STOPPING:
+            if run is None:
+                continue
+            run.unwanted_since = min(run.unwanted_since, now)
+            if run.phase is not run_registry.RunPhase.STOPPING:
                 self._begin_stop(run, reason)
 
     def stop_job(self, job: ids.JobKey) -> None:
@@ -223,6 +227,13 @@
             return "stale_order"
         return ""
 
+    def _is_stop_overdue(self) -> bool:
+        """Return whether the worker should have confirmed the stop of an unwanted run by now.
+
+        The lease covers all runs. It must end then, so neither renewals nor starts may extend it.
+        """
+        return self._registry.has_unconfirmed_stop(asyncio.get_running_loop().time() - timing.DELAY_MARGIN_S)
+
     def _spawn(self, coroutine: "collections_abc.Coroutine[None, None, None]") -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -264,6 +275,8 @@
             self._stop_expired_grants()
             if self._registry.get(run.key) is not run or run.phase is not run_registry.RunPhase.STARTING:
                 return
+            if self._is_stop_overdue():
+                break
             run.is_crash_reported = False  # the request may start it on a worker that has restarted
             try:
                 with lease.extension() as lease_until_s:
@@ -359,7 +372,7 @@
         number = self._listing_number  # of this listing
         acknowledged = self._processed_end
         has_runs = bool(self._registry.runs)
-        is_extended = has_runs and self._grants and lease.can_extend
+        is_extended = has_runs and self._grants and lease.can_extend and not self._is_stop_overdue()
         wait_s = timing.HEARTBEAT_INTERVAL_S if has_runs and self._is_recovered else 0.0
         try:
             with lease.extension() if is_extended else contextlib.nullcontext() as lease_until_s:
--- a/src/cactusgauge/runs/run_registry.py
+++ b/src/cactusgauge/runs/run_registry.py
@@ -41,7 +41,8 @@
 
     `first_conclusive_listing` is the number of the first listing that proves the run gone if it does not contain it;
     None while the reply to its start or stop is awaited. `is_confirmed` tells whether the worker has certainly started
-    the run, `is_crash_reported` whether a crash of the worker during the run was reported.
+    the run, `is_crash_reported` whether a crash of the worker during the run was reported. `unwanted_since` is the
+    loop time from which its entry need not wait for its end, so that its task may run elsewhere.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "phase",
         "started_at",
         "stop_reason",
+        "unwanted_since",
     )
 
     def __init__(self, new: NewRun, now: float) -> None:
@@ -67,6 +69,7 @@
         self.is_crash_reported = False
         self.started_at = now
         self.stop_reason = ""
+        self.unwanted_since = float("inf")
         self.first_conclusive_listing: int | None = None
 
 
@@ -103,6 +106,12 @@
         """Return the runs of an entry."""
         return [run for run in self._runs.values() if run.owner == owner]
 
+    def has_unconfirmed_stop(self, unwanted_before: float) -> bool:
+        """Return whether the worker has not confirmed the stop of a run that was unwanted before a loop time."""
+        return any(
+            run.unwanted_since < unwanted_before and run.first_conclusive_listing is None for run in self._runs.values()
+        )
+
     def admit(self, new: NewRun, now: float) -> str:
         """Reserve capacity for a run; return an empty string, or why it is refused."""
         if new.key.task in self._tasks:
--- a/src/cactusgauge/scheduling/worker_report.py
+++ b/src/cactusgauge/scheduling/worker_report.py
@@ -10,7 +10,7 @@
 class WorkerPhase(enum.Enum):
     """Whether a worker accepts new runs."""
 
-    ABSENT = "absent"  # unknown, silent, not reachable by its agent, or not yet recovered after a restart
+    ABSENT = "absent"  # unknown, silent, not reachable by its agent, does not answer stops, or not yet recovered
     READY = "ready"
     DRAINING = "draining"  # it or its agent is about to stop
 
--- a/tests/unit/runs/test_run_controller.py
+++ b/tests/unit/runs/test_run_controller.py
@@ -342,6 +342,29 @@
         raise runs.WrongWorkerError("another worker answers")
 
 
+class _WorkerDeafToStops(leased_worker.LeasedWorker):
+    """Neither carries out nor answers stops."""
+
+    async def stop(self, key: ids.RunKey, fencing_token: int) -> None:
+        await asyncio.sleep(0.15)
+        raise runs.WorkerCallError("no response")
+
+
+async def test_run_whose_stop_is_never_answered_is_gone_before_its_caller_returns() -> None:
+    """Guards against two runs of a task, as the lease that other runs need keeps the first one at work."""
+    harness = conftest.ControllerHarness()
+    harness.worker = _WorkerDeafToStops(lambda key: 10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key(0))
+        harness.start(conftest.run_key(1))
+        await harness.renew_grant(0.5)
+        harness.controller.stop([conftest.run_key(0)], "canceled")
+        for number in range(2, 8):  # a start extends the lease as well
+            await harness.renew_grant((conftest.TIMING.runs_gone_after_s - conftest.TIMING.grant_s) / 6)
+            harness.start(conftest.run_key(number))
+        assert conftest.run_key(0) not in harness.worker.running
+
+
 async def test_late_reply_to_an_earlier_worker_does_not_end_the_runs_of_its_successor() -> None:
     """Guards against runs that are reported as lost, and started elsewhere, while the new worker runs them."""
     harness = conftest.ControllerHarness(duration_s=2.0)
