Send the head and the body of an answer in one write

Change: the transport of each connection joins what is written within one turn of the event loop. It also saves a system call for each answer.

--- a/src/cactusgauge/http_server.py
+++ b/src/cactusgauge/http_server.py
@@ -6,7 +6,7 @@
 
 import uvicorn
 
-from cactusgauge import exceptions
+from cactusgauge import exceptions, http_protocol
 
 if TYPE_CHECKING:
     import socket
@@ -34,6 +34,7 @@
                 app,
                 host=host,
                 port=port,
+                http=http_protocol.HttpProtocol,
                 log_config=None,
                 access_log=False,
                 lifespan="off",
