Tell apart jobs of two queues that have the same id

Ids are chosen by callers, and the two workspaces don't agree on them.

Cause: `ParallelJobService`, the cancellations and `CancelJob` knew a job by its id alone.

Change: answers, unfinished jobs and cancellations are kept by queue and id, in the messages and in the store, too. As the platform names tasks by the id alone, only one of two such jobs may be open at an entry; the other one is refused as `job_id_in_use`, before anything starts, with Retry-After. An agent leaves a cancelled job's runs to their entry if that one is linked, as only the entry knows their queue.

Evidence: the two new tests failed before (the answer of the other queue's job, no start) and hold after it. Not told apart: two such jobs that are open at two entries at once.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -382,7 +382,7 @@
         elif isinstance(message, messages.Stops):
             controller.stop(message.keys, message.reason)
         elif isinstance(message, messages.CancelJob):
-            controller.stop_job(message.job)
+            controller.stop_job(message.job.key, {each.incarnation for each in self._connections.values()})
             for other in self._connections.values():
                 if other is not connection:
                     other.link.post(message)
--- a/src/cactusgauge/fleet/cancellation_follower.py
+++ b/src/cactusgauge/fleet/cancellation_follower.py
@@ -21,7 +21,7 @@
     def __init__(
         self,
         log: stores.CancellationLog,
-        apply: "abc.Callable[[ids.JobKey], object]",
+        apply: "abc.Callable[[ids.QueuedJob], object]",
         log_event: "abc.Callable[..., None]",
     ) -> None:
         self._log = log
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -58,7 +58,7 @@
         journal: "observability.Journal",
         build_scheduler: SchedulerBuilder,
         on_job_ended: "abc.Callable[[scheduling.ParallelJob, scheduling.JobResult, str, int], None]",
-        on_job_canceled: "abc.Callable[[ids.JobKey, str], object]",
+        on_job_canceled: "abc.Callable[[ids.QueuedJob, str], object]",
     ) -> None:
         self.incarnation = ids.new_entry_incarnation()
         self._name = name
@@ -113,7 +113,7 @@
                 announce = functools.partial(self._announce_forever, seed_number)
                 group.create_task(background.keep_running("announce", announce, self._journal.log_event))
 
-    def broadcast_cancel(self, job: ids.JobKey) -> None:
+    def broadcast_cancel(self, job: ids.QueuedJob) -> None:
         """Tell other entries, through the agents, that a job is cancelled; those that can't reach the store too."""
         for peer in self._peers.values():
             if peer.link is not None:
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -144,7 +144,7 @@
 class CancelJob(NamedTuple):
     """Cancels a job that another entry may have: sent by an entry and forwarded by agents to the other entries."""
 
-    job: ids.JobKey
+    job: ids.QueuedJob
 
 
 class DocumentRequest(NamedTuple):
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -13,6 +13,8 @@
 
 ENTRY_STOPPING = "entry_stopping"
 CANCELED = "canceled"
+JOB_ID_IN_USE = "job_id_in_use"  # by an open job of another queue; the platform names tasks by the job's id alone
+JOB_ID_RETRY_AFTER_S = 1
 MAX_CANCELLATIONS = 10_000  # of jobs that this entry does not have; about 1 MB
 MAX_UNFINISHED_JOBS = 2_000  # whose callers may send them again
 MAX_KEPT_ANSWERS = 2_000  # of recently ended jobs, for callers that send a job again after a lost answer
@@ -39,6 +41,11 @@
     payload: str
     deadline: float
 
+    @property
+    def job(self) -> ids.QueuedJob:
+        """The job's queue and key."""
+        return ids.QueuedJob(self.policy.queue, self.key)
+
 
 class ParallelJobService:
     """Submits callers' jobs to the scheduler and returns their answers.
@@ -52,10 +59,10 @@
         self._counters = counters
         self._journal = journal
         self._waiting: dict[ids.JobKey, list[asyncio.Future[JobAnswer]]] = {}
-        self._answers: collections.OrderedDict[ids.JobKey, JobAnswer] = collections.OrderedDict()
+        self._answers: collections.OrderedDict[ids.QueuedJob, JobAnswer] = collections.OrderedDict()
         # Cancelled jobs that this entry did not have, in case they are submitted later.
-        self._cancellations: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
-        self._unfinished_jobs: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
+        self._cancellations: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
+        self._unfinished_jobs: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
         self._scheduler: scheduling.RunScheduler | None = None
         self._ends_by = float("inf")
 
@@ -77,33 +84,38 @@
     ) -> JobAnswer | None:
         """Return the answer to a job, or None if the caller disconnects first, when `wait_for_disconnect` returns."""
         assert self._scheduler is not None
-        known = self._answers.get(new.key)
+        known = self._answers.get(new.job)
         if known is not None:
             self._journal.log_event("job_known", job=new.key, result=known.result.value)
             return known
-        if new.key in self._cancellations:
+        if new.job in self._cancellations:
             self._journal.log_event("job_canceled_before", job=new.key)
             return JobAnswer(scheduling.JobResult.CANCELED, CANCELED, 0)
+        if self._scheduler.get_job(new.key) is not None and self.open_job(new.job) is None:
+            self._journal.log_event("job_refused", job=new.key, queue=new.policy.queue, reason=JOB_ID_IN_USE)
+            result = self._correct_result(new.job, scheduling.JobResult.NOT_RUN)
+            return JobAnswer(result, JOB_ID_IN_USE, JOB_ID_RETRY_AFTER_S)
         if new.key not in self._waiting:
             refusal = self._open(new, self._scheduler)
             if refusal is not None:
-                result = self._correct_result(new.key, scheduling.JobResult.NOT_RUN)
+                result = self._correct_result(new.job, scheduling.JobResult.NOT_RUN)
                 return JobAnswer(result, refusal.code, refusal.retry_after_s)
         else:
             self._extend_deadline(new, self._scheduler)
         future: asyncio.Future[JobAnswer] = asyncio.get_running_loop().create_future()
         self._waiting.setdefault(new.key, []).append(future)
         # The job may have ended while it was submitted, before this future was there to get its answer.
-        if self._scheduler.get_job(new.key) is None and new.key in self._answers:
+        if self._scheduler.get_job(new.key) is None and new.job in self._answers:
             self._waiting.pop(new.key)
-            return self._answers[new.key]
+            return self._answers[new.job]
         return await self._wait(new.key, future, wait_for_disconnect)
 
     def finish(
         self, job: scheduling.ParallelJob, result: scheduling.JobResult, reason: str, retry_after_s: int
     ) -> None:
         """Answer the callers of a job."""
-        result = self._correct_result(job.key, result)
+        queued_job = ids.QueuedJob(job.policy.queue, job.key)
+        result = self._correct_result(queued_job, result)
         objective_s = job.objective_at - job.arrived_at
         age_s = asyncio.get_running_loop().time() - job.arrived_at
         self._counters.add("jobs_ended", job.policy.queue, reason or result.value)
@@ -133,39 +145,45 @@
             )
         answer = JobAnswer(result, reason, retry_after_s)
         if result.is_final:
-            self._answers[job.key] = answer
+            self._answers[queued_job] = answer
             if len(self._answers) > MAX_KEPT_ANSWERS:
                 self._answers.popitem(last=False)
         elif result is scheduling.JobResult.UNFINISHED:
-            self._unfinished_jobs[job.key] = None
+            self._unfinished_jobs[queued_job] = None
             if len(self._unfinished_jobs) > MAX_UNFINISHED_JOBS:
                 self._unfinished_jobs.popitem(last=False)
         for future in self._waiting.pop(job.key, []):
             if not future.done():
                 future.set_result(answer)
 
-    def cancel(self, key: ids.JobKey, reason: str = CANCELED) -> bool:
+    def cancel(self, job: ids.QueuedJob, reason: str = CANCELED) -> bool:
         """Cancel a job at its caller's request, also one that arrives later; return whether this entry had it."""
         assert self._scheduler is not None
-        if self._scheduler.cancel(key, scheduling.JobResult.CANCELED, reason):
-            return True
-        if key not in self._answers:
-            self._cancellations[key] = None
+        if self.open_job(job) is not None:
+            return self._scheduler.cancel(job.key, scheduling.JobResult.CANCELED, reason)
+        if job not in self._answers:
+            self._cancellations[job] = None
             if len(self._cancellations) > MAX_CANCELLATIONS:
                 self._cancellations.popitem(last=False)
         return False
 
-    def answer(self, key: ids.JobKey) -> JobAnswer | None:
+    def answer(self, job: ids.QueuedJob) -> JobAnswer | None:
         """Return the answer to a job that ended recently with a final result."""
-        return self._answers.get(key)
+        return self._answers.get(job)
+
+    def open_job(self, job: ids.QueuedJob) -> scheduling.ParallelJob | None:
+        """Return a job that has not ended, or None if this entry has no such job."""
+        assert self._scheduler is not None
+        found = self._scheduler.get_job(job.key)
+        return found if found is not None and found.policy.queue == job.queue else None
 
     def is_open(self, key: ids.JobKey) -> bool:
         """Return whether this entry has a job that has not ended."""
         return key in self._waiting
 
-    def _correct_result(self, key: ids.JobKey, result: scheduling.JobResult) -> scheduling.JobResult:
-        """Return the result of an attempt, in view of the earlier ones."""
-        if result is scheduling.JobResult.NOT_RUN and key in self._unfinished_jobs:
+    def _correct_result(self, job: ids.QueuedJob, result: scheduling.JobResult) -> scheduling.JobResult:
+        """Return the result of an attempt, which is not `NOT_RUN` if an earlier attempt has started tasks."""
+        if result is scheduling.JobResult.NOT_RUN and job in self._unfinished_jobs:
             return scheduling.JobResult.UNFINISHED
         return result
 
--- a/src/cactusgauge/fleet/stores.py
+++ b/src/cactusgauge/fleet/stores.py
@@ -43,7 +43,7 @@
 class CancellationBatch(NamedTuple):
     """Jobs that were cancelled after a cursor, oldest first, and the next cursor."""
 
-    jobs: list[ids.JobKey]
+    jobs: list[ids.QueuedJob]
     cursor: int
 
 
@@ -51,7 +51,7 @@
     """The cancellations of the last minutes, in an order that all entries see."""
 
     @abc.abstractmethod
-    async def record(self, job: ids.JobKey) -> None:
+    async def record(self, job: ids.QueuedJob) -> None:
         """Store the cancellation of a job; raise `StoreUnavailableError` if it may not be stored."""
 
     @abc.abstractmethod
--- a/src/cactusgauge/ids.py
+++ b/src/cactusgauge/ids.py
@@ -14,7 +14,7 @@
 QueueName = NewType("QueueName", str)
 ServiceName = NewType("ServiceName", str)
 WorkerId = NewType("WorkerId", str)
-JobKey = NewType("JobKey", str)  # a job in a queue, under the name that its caller chose
+JobKey = NewType("JobKey", str)  # the name of a job, which its caller chose; tasks and runs carry it alone
 
 INCARNATION_BYTES = 8
 SESSION_RANDOM_BYTES = 8
@@ -47,6 +47,13 @@
         return f"{self.session}/{self.number}/{self.task}"
 
 
+class QueuedJob(NamedTuple):
+    """A caller's job. The callers of another queue may use the same key for a job of theirs."""
+
+    queue: QueueName
+    key: JobKey
+
+
 class TaskKey(NamedTuple):
     """A task of a job in a queue: its step and its position within the step."""
 
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -116,9 +116,9 @@
         elif method == "POST":
             await self._submit(scope, receive, send, route, job_id, body, arrived_at)
         elif method == "GET":
-            await self._get(send, ids.JobKey(job_id))
+            await self._get(send, ids.QueuedJob(route.policy.queue, ids.JobKey(job_id)))
         elif method == "DELETE":
-            await self._delete(send, ids.JobKey(job_id))
+            await self._delete(send, ids.QueuedJob(route.policy.queue, ids.JobKey(job_id)))
         else:
             await self._respond(send, 405, {})
 
@@ -153,28 +153,28 @@
         else:
             await self._respond(send, 200, {"state": SUBMISSION_STATE_NAMES[answer.result]})
 
-    async def _get(self, send: asgi.Send, key: ids.JobKey) -> None:
-        job = self._entry.scheduler.get_job(key)
-        answer = self._job_service.answer(key)
-        if job is not None:
-            await self._respond(send, 200, {"state": "running" if job.has_started else "queued"})
+    async def _get(self, send: asgi.Send, job: ids.QueuedJob) -> None:
+        open_job = self._job_service.open_job(job)
+        answer = self._job_service.answer(job)
+        if open_job is not None:
+            await self._respond(send, 200, {"state": "running" if open_job.has_started else "queued"})
         elif answer is not None:
             await self._respond(send, 200, {"state": STATE_NAMES[answer.result]})
         else:
             await self._respond(send, 410, {})
 
-    async def _delete(self, send: asgi.Send, key: ids.JobKey) -> None:
+    async def _delete(self, send: asgi.Send, job: ids.QueuedJob) -> None:
         """Cancel a job wherever it is; acknowledge it only once all entries that can reach the store will learn it."""
-        was_open = self._job_service.cancel(key)
+        was_open = self._job_service.cancel(job)
         if not was_open:
-            self._entry.broadcast_cancel(key)
+            self._entry.broadcast_cancel(job)
         try:
-            await self._cancellations.record(key)
+            await self._cancellations.record(job)
         except fleet.StoreUnavailableError as error:
-            self._journal.log_event("cancellation_not_stored", job=key, reason=str(error))
+            self._journal.log_event("cancellation_not_stored", job=job.key, reason=str(error))
             await self._respond(send, 503, {"code": error.code}, CANCELLATION_RETRY_AFTER_S)
             return
-        self._journal.log_event("cancellation_stored", job=key, was_open=was_open)
+        self._journal.log_event("cancellation_stored", job=job.key, was_open=was_open)
         await self._respond(send, 200 if was_open else 410, {})
 
     @staticmethod
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -213,9 +213,10 @@
             if run.phase is not run_registry.RunPhase.STOPPING:
                 self._begin_stop(run, reason)
 
-    def stop_job(self, job: ids.JobKey) -> None:
-        """Stop all runs of a job, whoever owns them."""
-        self.stop([run.key for run in self._registry.runs if run.key.job == job], "canceled")
+    def stop_job(self, job: ids.JobKey, linked: "collections_abc.Container[ids.EntryIncarnation]") -> None:
+        """Stop the runs of a job whose entries are not linked; a linked one stops those of its own jobs itself."""
+        keys = [run.key for run in self._registry.runs if run.key.job == job and run.owner not in linked]
+        self.stop(keys, "canceled")
 
     def _refusal_reason(self, generation: int, stamped_at: float, now: float) -> str:
         if generation != self._generation:
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -59,11 +59,11 @@
     """Keeps cancellations in memory, and drops those before `first` as the store drops old records."""
 
     def __init__(self) -> None:
-        self.jobs: list[ids.JobKey] = []
+        self.jobs: list[ids.QueuedJob] = []
         self.first = 0
         self.is_available = True
 
-    async def record(self, job: ids.JobKey) -> None:
+    async def record(self, job: ids.QueuedJob) -> None:
         """Store a cancellation."""
         if not self.is_available:
             raise fleet.StoreUnavailableError("store returned status 503 for an append")
--- a/tests/unit/fleet/test_cancellation_follower.py
+++ b/tests/unit/fleet/test_cancellation_follower.py
@@ -3,7 +3,7 @@
 from cactusgauge import fleet, ids, scheduling
 from tests.unit.fleet import conftest
 
-JOB = ids.JobKey("j")
+JOB = ids.QueuedJob(conftest.QUEUE.queue, ids.JobKey("j"))
 
 
 async def _follow(entry: conftest.Entry, log: fleet.CancellationLog, events: list[str]) -> None:
@@ -57,7 +57,7 @@
     await asyncio.sleep(0.05)
     log.is_available = False
     await conftest.until(lambda: events == ["cancellations_lost"])
-    log.jobs = [ids.JobKey(f"job-{number}") for number in range(5)]
+    log.jobs = [ids.QueuedJob(conftest.QUEUE.queue, ids.JobKey(f"job-{number}")) for number in range(5)]
     log.first = 3
     log.is_available = True
     await conftest.until(lambda: events == ["cancellations_lost", "cancellations_regained"])
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -230,7 +230,7 @@
         await conftest.until(lambda: owner.link_server.has_workers and other.link_server.has_workers)
         submitting = asyncio.create_task(owner.submit("j"))
         await conftest.until(lambda: len(agent.worker.running) == 1)
-        other.link_server.broadcast_cancel(ids.JobKey("j"))
+        other.link_server.broadcast_cancel(ids.QueuedJob(conftest.QUEUE.queue, ids.JobKey("j")))
         answer = await submitting
         assert answer is not None and answer.result is scheduling.JobResult.CANCELED
         await conftest.until(lambda: not agent.worker.running, 1.0)
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -25,6 +25,7 @@
     "slack_factor": 1.6,
     "target_latency_ms": 60,
 }
+OTHER_ROUTE = {**ROUTE, "name": "other", "path_prefix": "/other-queue/"}
 BODY = {"spec": "x", "steps": [{"count": 2, "cpu": 1000, "mem_mb": 10, "estimate_ms": 100}], "best_effort": True}
 
 
@@ -42,8 +43,8 @@
         )
 
     def configure(self, version: int = 1, **limits: int) -> None:
-        """Apply a configuration with one route."""
-        document = {"version": version, "routes": [ROUTE], "limits": limits}
+        """Apply a configuration with two routes."""
+        document = {"version": version, "routes": [ROUTE, OTHER_ROUTE], "limits": limits}
         self.entry.cache.apply_if_newer(json.dumps(document).encode(), "test")
 
     async def call(
@@ -232,6 +233,41 @@
         assert await first is not None
 
 
+async def test_job_of_another_queue_is_not_answered_with_this_one() -> None:
+    """Guards against a caller that gets the answer of another workspace's job, as both chose the same id."""
+    async with _running_app() as setup:
+        setup.configure()
+        first = await setup.call("POST", f"/q/{JOB}", BODY)
+        assert first is not None and first[:2] == (200, {"state": "succeeded"})
+        unknown = await setup.call("GET", f"/other-queue/{JOB}")
+        assert unknown is not None and unknown[0] == 410
+        second = await setup.call("POST", f"/other-queue/{JOB}", BODY)
+        assert second is not None and second[:2] == (200, {"state": "succeeded"})
+        assert len(setup.agent.worker.starts) == 4
+        kept = await setup.call("GET", f"/q/{JOB}")
+    assert kept is not None and kept[:2] == (200, {"state": "succeeded"})
+
+
+async def test_open_job_of_another_queue_is_neither_joined_nor_canceled() -> None:
+    """Guards against a caller whose job is cancelled or answered by requests for a job with its id in another queue."""
+    async with _running_app() as setup:
+        setup.configure()
+        setup.agent.duration_s = 0.5
+        calling = asyncio.create_task(setup.call("POST", f"/q/{JOB}", BODY))
+        await fleet_conftest.until(lambda: len(setup.agent.worker.running) == 2)
+        refused = await setup.call("POST", f"/other-queue/{JOB}", BODY)
+        assert refused is not None and refused[:2] == (503, {"code": "job_id_in_use"})
+        assert refused[2][b"retry-after"] == b"1"
+        for method in ("GET", "DELETE"):
+            unknown = await setup.call(method, f"/other-queue/{JOB}")
+            assert unknown is not None and unknown[0] == 410
+        answer = await calling
+        assert answer is not None and answer[:2] == (200, {"state": "succeeded"})
+        canceled = await setup.call("POST", f"/other-queue/{JOB}", BODY)
+        assert canceled is not None and canceled[:2] == (200, {"state": "failed"})
+    assert len(setup.agent.worker.starts) == 2
+
+
 async def test_cancellation_that_is_not_stored_is_not_acknowledged() -> None:
     """Guards against the acknowledgement of a cancellation that the entry with the job never learns."""
     async with _running_app() as setup:
@@ -243,7 +279,7 @@
         setup.cancellations.is_available = True
         deleted = await setup.call("DELETE", f"/q/{JOB}")
     assert deleted is not None and deleted[0] == 410
-    assert setup.cancellations.jobs == [JOB]
+    assert setup.cancellations.jobs == [("r", JOB)]
 
 
 def _assert_one_run_at_a_time(setup: _Setup) -> None:
--- a/tests/unit/platform/test_store_cancellations.py
+++ b/tests/unit/platform/test_store_cancellations.py
@@ -6,7 +6,7 @@
 from tests.unit.fleet import conftest as fleet_conftest
 from tests.unit.platform import fake_store
 
-JOBS = [ids.JobKey(f"{number:016x}") for number in range(3)]
+JOBS = [ids.QueuedJob(ids.QueueName("queue é"), ids.JobKey(f"{number:016x}")) for number in range(3)]
 
 
 async def test_cancellations_are_read_in_order_by_all_entries() -> None:
