Do not refuse a job as not run that another entry has started

Callers could be told that their job never runs (503) although its tasks had run: a job whose connection broke, or whose entry was lost, is handed in at another entry, and that one refused it under load as "not run". So it did after a lost answer, if the entry that had given it was lost.

Cause: entries know nothing of each other's attempts; `NOT_RUN` was decided from this entry's own state alone.

Change: an entry tells the others, through the agents, of each job that ended without an outcome after a task may have started; an agent does so for the last jobs that it has started for an entry from which it hears nothing for the length of a grant. Each process passes a job on once, so that it reaches entries without a common agent. Such a job is then refused with 504, which says that it may have run and can be sent again.

Not covered: an answer that is lost after the entry wrote it, if that entry lives, as it does not learn of the loss.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -16,6 +16,7 @@
     link_selector,
     messages,
     recent_crashes,
+    recent_jobs,
     report_schedule,
     stores,
 )
@@ -39,6 +40,7 @@
 MAX_OUTBOXES = 500  # of entry incarnations; the oldest is closed, long after its entry has ended
 MAX_CLOSED_ACCOUNTS = 500  # enough for the entry restarts of a week at the target size
 FLUSH_TIMEOUT_S = 0.3
+MAX_PASSED_ON_JOBS = 2_000  # that are not passed on again
 
 
 class _EntryConnection:
@@ -91,6 +93,7 @@
         self._refused_owners: set[ids.EntryIncarnation] = set()
         self._recent_crashes = recent_crashes.RecentCrashes()
         self._crash_ledger = scheduling.CrashLedger()
+        self._passed_on_jobs = recent_jobs.RecentJobs(MAX_PASSED_ON_JOBS)
         self._exchange = config_exchange.ConfigExchange(cache)
         self._copy_schedule = config_exchange.CopySchedule()
         self._controller: runs.RunController | None = None
@@ -184,6 +187,25 @@
             if connection is not source:
                 connection.link.post(crash)
 
+    def _pass_on_started(self, jobs: "abc.Iterable[ids.JobKey]", source: _EntryConnection | None = None) -> None:
+        """Send started jobs to all entries but their source, unless they were sent before."""
+        new_jobs = self._passed_on_jobs.add(jobs)
+        if not new_jobs:
+            return
+        for connection in self._connections.values():
+            if connection is not source:
+                connection.link.post(messages.StartedJobs(new_jobs))
+
+    def _report_lost_entries(self, now: float) -> None:
+        """Tell other entries of the jobs of an entry that has been silent for the length of a grant."""
+        received_at = {each.incarnation: each.link.last_received_at for each in self._connections.values()}
+        for owner, outbox in self._outboxes.items():
+            if now - received_at.get(owner, outbox.last_linked_at) <= self._timing.grant_s:
+                outbox.is_reported_lost = False
+            elif not outbox.is_reported_lost:
+                outbox.is_reported_lost = True
+                self._pass_on_started(outbox.recent_jobs)
+
     def _pair_totals(self, owner: ids.EntryIncarnation, outbox: entry_outbox.EntryOutbox) -> accounting.PairTotals:
         service = self._controller.report().service if self._controller is not None else ""
         return outbox.account.totals(owner, "", ids.WorkspaceName(service))
@@ -247,6 +269,7 @@
             self._copy_config(loop.time())
             if number % INTERVALS_PER_AGENT_BEAT == 0:
                 self._send_beat()
+            self._report_lost_entries(loop.time())
             live = {connection.incarnation for connection in self._connections.values()}
             for owner, outbox in list(self._outboxes.items()):
                 if owner in live:
@@ -357,7 +380,7 @@
             self._check_stamp(message.stamp)
             outbox = self._outboxes[connection.incarnation]
             for start in message.starts:
-                outbox.record_start(start.number)
+                outbox.record_start(start.number, start.key.job)
                 new = runs.NewRun(
                     start.key,
                     connection.incarnation,
@@ -386,6 +409,8 @@
             for other in self._connections.values():
                 if other is not connection:
                     other.link.post(message)
+        elif isinstance(message, messages.StartedJobs):
+            self._pass_on_started(message.jobs, connection)
         elif isinstance(message, scheduling.WorkerCrash):
             self._pass_on_crash(message, connection)
         elif isinstance(message, messages.DocumentRequest):
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -59,6 +59,7 @@
         build_scheduler: SchedulerBuilder,
         on_job_ended: "abc.Callable[[scheduling.ParallelJob, scheduling.JobResult, str, int], None]",
         on_job_canceled: "abc.Callable[[ids.QueuedJob, str], object]",
+        on_jobs_started: "abc.Callable[[abc.Iterable[ids.JobKey]], list[ids.JobKey]]",
     ) -> None:
         self.incarnation = ids.new_entry_incarnation()
         self._name = name
@@ -70,6 +71,8 @@
         self._journal = journal
         self._on_job_ended = on_job_ended
         self._on_job_canceled = on_job_canceled
+        self._on_jobs_started = on_jobs_started
+        self._unfinished_jobs: list[ids.JobKey] = []  # that no other process was told of yet
         self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
@@ -140,7 +143,9 @@
     def finish(
         self, job: scheduling.ParallelJob, result: scheduling.JobResult, reason: str, retry_after_s: int
     ) -> None:
-        """Answer the callers of a job."""
+        """Answer the callers of a job, who may send it to another entry if it has no outcome."""
+        if result is scheduling.JobResult.UNFINISHED:
+            self._unfinished_jobs.append(job.key)
         self._on_job_ended(job, result, reason, retry_after_s)
 
     def request_dispatch(self) -> None:
@@ -297,6 +302,10 @@
                 self._exchange.request_if_newer(peer.link, message.config_version)
         elif isinstance(message, messages.CancelJob):
             self._on_job_canceled(message.job, CANCELED_ELSEWHERE)
+        elif isinstance(message, messages.StartedJobs):
+            new_jobs = self._on_jobs_started(message.jobs)
+            if new_jobs:
+                self._pass_on_started(new_jobs, peer)
         elif isinstance(message, scheduling.WorkerCrash):
             self._handle_crash(peer, message, now)
         elif isinstance(message, messages.DocumentRequest):
@@ -323,6 +332,12 @@
         peer.is_lost = False
         self._scheduler.update_worker(view, report, message.handled_start, now)
 
+    def _pass_on_started(self, jobs: list[ids.JobKey], source: agent_peer.AgentPeer | None) -> None:
+        """Tell the other entries, through the agents, of started jobs that the callers may send to them."""
+        for peer in self._peers.values():
+            if peer is not source and peer.link is not None:
+                peer.link.post(messages.StartedJobs(jobs))
+
     def _handle_crash(self, peer: agent_peer.AgentPeer, crash: scheduling.WorkerCrash, now: float) -> None:
         """Count a crash and pass it on to all agents, and through them to entries without a link to its agent."""
         if not self._scheduler.record_crash(crash, now):
@@ -384,6 +399,10 @@
             for peer in list(self._peers.values()):
                 self._check_peer(peer, now)
             self._scheduler.tick(now)
+            if self._unfinished_jobs:
+                jobs, self._unfinished_jobs = self._unfinished_jobs, []
+                for first in range(0, len(jobs), messages.MAX_STARTED_JOBS):
+                    self._pass_on_started(jobs[first : first + messages.MAX_STARTED_JOBS], None)
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _check_peer(self, peer: agent_peer.AgentPeer, now: float) -> None:
--- a/src/cactusgauge/fleet/entry_outbox.py
+++ b/src/cactusgauge/fleet/entry_outbox.py
@@ -1,19 +1,25 @@
 """Ends of runs that an entry has not acknowledged yet."""
 
 import collections
+from typing import TYPE_CHECKING
 
 from cactusgauge import accounting, scheduling
-from cactusgauge.fleet import messages
+from cactusgauge.fleet import messages, recent_jobs
 
+if TYPE_CHECKING:
+    from cactusgauge import ids
+
+MAX_RECENT_JOBS = 200  # more than an entry starts at one agent until their callers have given up
 MAX_UNACKNOWLEDGED_ENDS = 2_000  # an unreachable entry's grant and runs end long before there are as many
 
 
 class EntryOutbox:
-    """The ends and the account that an agent keeps for one entry incarnation.
+    """The ends, the account and the recent jobs that an agent keeps for one entry incarnation.
 
-    Ends are numbered and kept until they are acknowledged. `handled_start` is the number of the last start
-    that arrived. The account counts a start when it arrives and an end when it is acknowledged; the entry counts a
-    start when it is acknowledged and an end when it arrives.
+    Ends are numbered and kept until they are acknowledged. `handled_start` is the number of the last start that
+    arrived, `recent_jobs` holds the jobs of the last ones. `is_reported_lost` tells whether other entries were told of
+    these jobs because nothing is received from the entry any more. The account counts a start when it arrives and an
+    end when it is acknowledged; the entry counts a start when it is acknowledged and an end when it arrives.
     """
 
     def __init__(self) -> None:
@@ -22,6 +28,8 @@
         self._sent_number = 0
         self.last_linked_at = 0.0
         self.handled_start = 0
+        self.recent_jobs = recent_jobs.RecentJobs(MAX_RECENT_JOBS)
+        self.is_reported_lost = False
         self.account = accounting.PairAccount()
 
     @property
@@ -29,9 +37,10 @@
         """All ends that are kept."""
         return list(self._ends)
 
-    def record_start(self, number: int) -> None:
-        """Record that a start has arrived."""
+    def record_start(self, number: int, job: "ids.JobKey") -> None:
+        """Record that a start of a job's task has arrived."""
         self.handled_start = number
+        self.recent_jobs.add([job])
         self.account.count_assign(number, 1)
 
     def add(self, end: "scheduling.RunEnd") -> None:
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -14,6 +14,7 @@
 
 PROTOCOL_VERSION = 5
 MAX_LISTED_ENTRIES = 1_000  # many times the number of entries at the target size
+MAX_STARTED_JOBS = 2_000  # in one message
 
 
 def is_link_url(url: str) -> bool:
@@ -147,6 +148,16 @@
     job: ids.QueuedJob
 
 
+class StartedJobs(NamedTuple):
+    """Jobs that an entry has started and ended without an outcome, or may have started before it was lost.
+
+    Their callers may send them to any entry, which must not say that they did not run. Each process passes a job on
+    once.
+    """
+
+    jobs: Annotated[list[ids.JobKey], pydantic.Field(max_length=MAX_STARTED_JOBS)]
+
+
 class DocumentRequest(NamedTuple):
     """Requests the configuration of a peer that has a newer one than `version`."""
 
@@ -176,6 +187,7 @@
     | Starts
     | Stops
     | CancelJob
+    | StartedJobs
     | DocumentRequest
     | ConfigDocument
     | EntryAnnouncement
@@ -192,6 +204,7 @@
     Starts,
     Stops,
     CancelJob,
+    StartedJobs,
     DocumentRequest,
     ConfigDocument,
     EntryAnnouncement,
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from cactusgauge import ids, scheduling
+from cactusgauge.fleet import recent_jobs
 
 if TYPE_CHECKING:
     from collections import abc
@@ -63,6 +64,7 @@
         # Cancelled jobs that this entry did not have, in case they are submitted later.
         self._cancellations: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
         self._unfinished_jobs: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
+        self._started_elsewhere = recent_jobs.RecentJobs(MAX_UNFINISHED_JOBS)
         self._scheduler: scheduling.RunScheduler | None = None
         self._ends_by = float("inf")
 
@@ -167,6 +169,13 @@
                 self._cancellations.popitem(last=False)
         return False
 
+    def record_started_elsewhere(self, jobs: "abc.Iterable[ids.JobKey]") -> list[ids.JobKey]:
+        """Record jobs that other entries have started; return those that were not known.
+
+        The jobs of all queues are meant: saying that a job may have run is true for any other one with its id, too.
+        """
+        return self._started_elsewhere.add(jobs)
+
     def answer(self, job: ids.QueuedJob) -> JobAnswer | None:
         """Return the answer to a job that ended recently with a final result."""
         return self._answers.get(job)
@@ -183,7 +192,8 @@
 
     def _correct_result(self, job: ids.QueuedJob, result: scheduling.JobResult) -> scheduling.JobResult:
         """Return the result of an attempt, which is not `NOT_RUN` if an earlier attempt has started tasks."""
-        if result is scheduling.JobResult.NOT_RUN and job in self._unfinished_jobs:
+        has_started = job in self._unfinished_jobs or job.key in self._started_elsewhere
+        if result is scheduling.JobResult.NOT_RUN and has_started:
             return scheduling.JobResult.UNFINISHED
         return result
 
--- /dev/null
+++ b/src/cactusgauge/fleet/recent_jobs.py
@@ -0,0 +1,35 @@
+"""A bounded set of jobs."""
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections import abc
+
+    from cactusgauge import ids
+
+
+class RecentJobs:
+    """The jobs that were added last, at most `capacity` of them."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._jobs: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
+
+    def __contains__(self, job: "ids.JobKey") -> bool:
+        return job in self._jobs
+
+    def __iter__(self) -> "abc.Iterator[ids.JobKey]":
+        return iter(self._jobs)
+
+    def add(self, jobs: "abc.Iterable[ids.JobKey]") -> "list[ids.JobKey]":
+        """Add jobs and return those that were not there."""
+        added = []
+        for job in jobs:
+            if job not in self._jobs:
+                added.append(job)
+            self._jobs[job] = None
+            self._jobs.move_to_end(job)
+        while len(self._jobs) > self._capacity:
+            self._jobs.popitem(last=False)
+        return added
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -121,6 +121,7 @@
             fleet.scheduler_builder(settings.distant_data_factor),
             job_service.finish,
             job_service.cancel,
+            job_service.record_started_elsewhere,
         )
         job_service.attach(entry.scheduler)
         cancellations = store_cancellations.StoreCancellations(node.store)
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -101,6 +101,7 @@
             fleet.scheduler_builder(1.5),
             self.job_service.finish,
             self.job_service.cancel,
+            self.job_service.record_started_elsewhere,
         )
         self.job_service.attach(self.link_server.scheduler)
 
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -1,4 +1,5 @@
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -6,10 +7,24 @@
 from cactusgauge.fleet import agent_link_client
 from tests.unit.fleet import conftest
 
+if TYPE_CHECKING:
+    from collections import abc
+
 SUCCEEDED = scheduling.JobResult.SUCCEEDED
 NOT_RUN = scheduling.JobResult.NOT_RUN
 
 
+def _dial_only(agent: conftest.Agent, entries: "abc.Sequence[conftest.Entry]") -> "abc.Callable[[], None]":
+    """Return a replacement for the selection of links that dials these entries alone."""
+
+    def dial() -> None:
+        for entry in entries:
+            if entry.url not in agent.link_client._dial.urls:
+                agent.link_client._dial.start(entry.url)
+
+    return dial
+
+
 async def test_job_runs_on_the_workers_of_two_agents() -> None:
     """Guards against a job that is never answered, or whose tasks are run twice or not at all."""
     entry = conftest.Entry("e", [])
@@ -188,6 +203,54 @@
     assert answer is not None and answer.result is SUCCEEDED
 
 
+@pytest.mark.parametrize("how", ["caller left", "entry lost", "entry lost after the answer"])
+async def test_job_that_another_entry_has_started_is_not_refused_as_not_run(how: str) -> None:
+    """Guards against a caller that is told that its job never runs, after an earlier attempt has started tasks."""
+    first = conftest.Entry("e1", [])
+    other = conftest.Entry("e2", [first.url])
+    agent = conftest.Agent("a", [first.url, other.url])
+    agent.duration_s = 0.1 if how == "entry lost after the answer" else 20.0
+    disconnected = asyncio.Event()
+    async with conftest.running(first, other, agent) as tasks:
+        await conftest.until(lambda: first.link_server.has_workers and other.link_server.has_workers)
+        submitting = asyncio.create_task(first.submit("j", disconnected=disconnected))
+        await conftest.until(lambda: len(agent.worker.starts) == 1)
+        if how == "caller left":
+            disconnected.set()
+        else:
+            if how == "entry lost after the answer":
+                await submitting
+            tasks[first].cancel()
+        await asyncio.sleep(1.3)  # a caller that lost its connection sends its job to another entry after this time
+        other.job_service.drain(asyncio.get_running_loop().time())
+        again = await other.submit("j")
+        unknown = await other.submit("k")
+        submitting.cancel()
+    assert again is not None and (again.result, again.reason) == (scheduling.JobResult.UNFINISHED, "draining")
+    assert unknown is not None and unknown.result is NOT_RUN
+
+
+async def test_started_job_becomes_known_to_an_entry_without_a_common_agent() -> None:
+    """Guards against a false refusal in a fleet in which each agent links to a few of the entries."""
+    first, middle, other = conftest.Entry("e1", []), conftest.Entry("e2", []), conftest.Entry("e3", [])
+    agents = [conftest.Agent("a", [first.url]), conftest.Agent("b", [first.url]), conftest.Agent("c", [other.url])]
+    links = {agents[0]: (first,), agents[1]: (first, middle), agents[2]: (middle, other)}
+    for agent, entries in links.items():
+        agent.link_client._update_dialled_entries = _dial_only(agent, entries)  # type: ignore[method-assign]
+    agents[0].duration_s = 20.0
+    disconnected = asyncio.Event()
+    async with conftest.running(first, middle, other, *agents):
+        await conftest.until(lambda: all(entry.link_server.has_workers for entry in (first, middle, other)))
+        submitting = asyncio.create_task(first.submit("j", tasks=2, disconnected=disconnected))
+        await conftest.until(lambda: sum(len(agent.worker.starts) for agent in agents) == 2)
+        disconnected.set()
+        await submitting
+        await asyncio.sleep(0.5)
+        other.job_service.drain(asyncio.get_running_loop().time())
+        again = await other.submit("j")
+    assert again is not None and again.result is scheduling.JobResult.UNFINISHED
+
+
 async def test_new_entry_becomes_known_through_a_seed() -> None:
     """Guards against an added entry that no agent links to because the agent's seeds do not name it."""
     first = conftest.Entry("e1", [])
--- a/tests/unit/fleet/test_fleet_codec.py
+++ b/tests/unit/fleet/test_fleet_codec.py
@@ -28,6 +28,7 @@
     messages.Starts(1.5, [messages.StartRun(1, 1, KEY, AMOUNTS, 100.0, "payload")]),
     messages.Stops([KEY], "canceled"),
     messages.CancelJob(ids.QueuedJob(ids.QueueName("q"), KEY.job)),
+    messages.StartedJobs([KEY.job]),
     messages.DocumentRequest(1),
     messages.ConfigDocument(1, b"{}"),
     messages.EntryAnnouncement("ws://10.0.0.1:80"),
