Check that an answer names the job that was asked for and is whole

Users of the client could be shown the answer of another job, or an error (`KeyError`), for a reply with status 200 that names another session or job or has no tasks: a proxy or a faulty process between them and an entry is enough. Not seen on the users' platform, which doesn't start this client.

Cause: `JobClient` took each reply with status 200 or 202 for the answer to its request.

Change: one that is not about the requested job, or not whole, is logged and counts as a lost reply; the request is repeated at the next entry.

The prepared replies of the other tests now name their job, as an entry's do.

--- a/src/cactusgauge/client/job_client.py
+++ b/src/cactusgauge/client/job_client.py
@@ -5,6 +5,8 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from absl import logging
+
 from cactusgauge import exceptions, ids
 from cactusgauge.client import entry_client
 
@@ -168,7 +170,11 @@
     ) -> entry_client.EntryReply | None:
         url = f"{self._entry_urls[0]}{self._sessions_path}/{urllib.parse.quote(job.session, safe='')}/jobs/{job.number}"
         remaining_s = max(0.0, deadline - asyncio.get_running_loop().time())
-        return await self._client.request(method, url, body, min(self._long_poll_s, remaining_s))
+        reply = await self._client.request(method, url, body, min(self._long_poll_s, remaining_s))
+        if reply is None or reply.status not in (200, 202) or self._is_answer_to(job, reply):
+            return reply
+        logging.warning("ignored a reply that is not a whole answer to %s %s", method, url)
+        return None
 
     async def _switch_entry(self, reply: entry_client.EntryReply | None, deadline: float) -> bool:
         """Switch to the next entry, after a delay if all were tried; return False if the deadline would pass."""
@@ -188,6 +194,21 @@
         if self._on_progress is not None:
             self._on_progress(job, int(reply.document.get("open_tasks", 0)))
 
+    @staticmethod
+    def _is_answer_to(job: JobRef, reply: entry_client.EntryReply) -> bool:
+        """Return whether a reply with status 200 or 202 is about this job and whole."""
+        document = reply.document
+        if (document.get("session"), document.get("job")) != (job.session, job.number):
+            return False
+        if reply.status == 202:
+            return isinstance(document.get("open_tasks", 0), int)
+        tasks = document.get("tasks")
+        return (
+            isinstance(document.get("state"), str)
+            and isinstance(tasks, list)
+            and all(isinstance(task, dict) and isinstance(task.get("state"), str) for task in tasks)
+        )
+
     @staticmethod
     def _is_transient(reply: entry_client.EntryReply) -> bool:
         return reply.code in TRANSIENT_CODES or (reply.status >= 500 and reply.code not in CLOSED_SESSION_CODES)
--- a/tests/unit/client/test_job_client.py
+++ b/tests/unit/client/test_job_client.py
@@ -15,7 +15,7 @@
 
 
 class ScriptedClient(client.EntryClient):
-    """Returns prepared replies and records the requests."""
+    """Returns prepared replies, which name the requested job unless they say otherwise, and records the requests."""
 
     def __init__(self, *replies: tuple[int, dict[str, Any]] | None) -> None:
         self._replies = list(replies)
@@ -28,7 +28,13 @@
         self.requests.append((method, url))
         await asyncio.sleep(0)
         reply = self._replies.pop(0)
-        return client.EntryReply(url, *reply) if reply is not None else None
+        if reply is None:
+            return None
+        status, document = reply
+        if status in (200, 202):
+            session, _, number = url.partition("/sessions/")[2].partition("/jobs/")
+            document = {"session": session, "job": int(number), **document}
+        return client.EntryReply(url, status, document)
 
 
 async def submit(
@@ -119,3 +125,24 @@
     """Guards against a draining entry that prevents callers from reaching the other entries."""
     scripted = ScriptedClient((503, refusal("draining")), (201, {"session": NEW}))
     assert await client.JobClient(scripted, [FIRST, SECOND], "cheese").open_session(2) == NEW
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        (200, {**ANSWER, "session": "other"}),
+        (200, {**ANSWER, "job": 8}),
+        (200, {"state": "complete"}),
+        (200, {"state": "complete", "tasks": [{}]}),
+        (200, {"state": "complete", "tasks": [None]}),
+        (202, {**RUNNING, "job": 8}),
+    ],
+    ids=["other session", "other job", "no tasks", "task without a state", "odd task", "progress of another job"],
+)
+async def test_answer_that_is_not_whole_or_of_another_job_counts_as_lost(odd: tuple[int, dict[str, Any]]) -> None:
+    """Guards against showing a caller the answer of another job, and against an error for one that is not whole."""
+    scripted = ScriptedClient(odd, (200, ANSWER))
+    result, _ = await submit(scripted)
+    assert result.outcome is client.Outcome.COMPLETE
+    assert result.answer == {"session": "old", "job": 7, **ANSWER}
+    assert [method for method, _ in scripted.requests] == ["PUT", "PUT"]
