Show a handed-over session to its own workspace only

A caller of one workspace could get the answer of another one's job, after a planned stop of the entry that owned its session: the successor found the session by its id alone, where the owner asks for the workspace, too. The id is random, so it takes a caller who knows it.

Cause: `HandOverSession` did not hold the workspace.

Change: it does, and the successor answers another workspace as the owner does, with `session_expired`. The messages between entries change, so their protocol version is 3.

Evidence: the three cases of the new test failed before the check and hold after it.

--- a/src/cactusgauge/entry/hand_over_store.py
+++ b/src/cactusgauge/entry/hand_over_store.py
@@ -51,9 +51,11 @@
                 by_owner[owner].append(session)
         return by_owner
 
-    def find(self, job: ids.JobId, digest: bytes | None) -> wire.HandOverJob:
+    def find(self, job: ids.JobId, workspace: ids.WorkspaceName, digest: bytes | None) -> wire.HandOverJob:
         """Return a finished job; raise a `RequestError` if it is not stored: a closed session starts no jobs."""
         session = self._sessions[job.session]
+        if session.workspace != workspace:
+            raise exceptions.SessionExpiredError(f"session {job.session} is unknown to workspace {workspace}")
         for held in session.jobs:
             if held.number == job.number:
                 if digest is not None and held.digest != digest:
--- a/src/cactusgauge/entry/job_service.py
+++ b/src/cactusgauge/entry/job_service.py
@@ -174,6 +174,7 @@
         return [
             wire.HandOverSession(
                 session.id,
+                session.workspace,
                 session.watermark,
                 [
                     wire.HandOverJob(job.id.number, job.digest, job.response().as_json())
--- a/src/cactusgauge/entry/request_router.py
+++ b/src/cactusgauge/entry/request_router.py
@@ -97,7 +97,7 @@
         digest = None
         if request.method is caller_request.Method.SUBMIT:
             digest = jobs.JobRequestParser.digest(request.body)
-        return caller_request.Reply(200, self._hand_overs.find(request.job_id, digest).answer)
+        return caller_request.Reply(200, self._hand_overs.find(request.job_id, request.workspace, digest).answer)
 
     async def _forward_to_owner(self, request: caller_request.CallerRequest) -> caller_request.Reply | None:
         if request.hop is caller_request.Hop.OWNER:
--- a/src/cactusgauge/wire/messages.py
+++ b/src/cactusgauge/wire/messages.py
@@ -10,7 +10,7 @@
 
 from cactusgauge import ids
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 # The final states of `jobs.TaskState`: only finished tasks are reported.
 FinalState = Annotated[str, pydantic.Field(pattern="^(completed|failed|not_run|unknown)$")]
@@ -204,6 +204,7 @@
     """
 
     session: ids.SessionId
+    workspace: ids.WorkspaceName
     watermark: int
     jobs: list[HandOverJob]
 
--- a/tests/unit/entry/test_request_router.py
+++ b/tests/unit/entry/test_request_router.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from cactusgauge import configuration, exceptions, ids, observability, wire
+from cactusgauge import configuration, exceptions, ids, jobs, observability, wire
 from cactusgauge.entry import (
     agent_links,
     caller_request,
@@ -46,14 +46,16 @@
         members = membership.Membership(info)
         service = job_service.JobService(self.own, self.source, counters, events)
         recovery = job_recovery.JobRecovery(agent_links.AgentLinks(members, service, events), events)
-        store = hand_over_store.HandOverStore()
-        super().__init__(members, service, store, recovery, forwarder.Forwarder(session))
+        self.store = hand_over_store.HandOverStore()
+        super().__init__(members, service, self.store, recovery, forwarder.Forwarder(session))
 
-    async def ask(self, method: caller_request.Method, session: str) -> caller_request.Reply:
+    async def ask(
+        self, method: caller_request.Method, session: str, workspace: ids.WorkspaceName = WORKSPACE
+    ) -> caller_request.Reply:
         """Send a request about job 1."""
         job = ids.JobId(ids.SessionId(session), 1)
         return await self.handle(
-            caller_request.CallerRequest(method, WORKSPACE, job, BODY, 0, caller_request.Hop.CALLER)
+            caller_request.CallerRequest(method, workspace, job, BODY, 0, caller_request.Hop.CALLER)
         )
 
 
@@ -89,3 +91,16 @@
     with pytest.raises(exceptions.SessionExpiredError) as session_expired:
         await router.ask(caller_request.Method.SUBMIT, f"{router.own}-dropped")
     assert session_expired.value.ran is exceptions.ExecutionStatus.UNKNOWN
+
+
+@pytest.mark.parametrize("method", list(caller_request.Method))
+async def test_handed_over_session_is_unknown_to_other_workspaces(
+    router: SingleEntryRouter, method: caller_request.Method
+) -> None:
+    """Guards against an answer that another workspace gets, after a planned stop of the session's owner."""
+    digest = jobs.JobRequestParser.digest(BODY)
+    session = ids.SessionId("stopped-1")
+    router.store.add([wire.HandOverSession(session, WORKSPACE, 0, [wire.HandOverJob(1, digest, b"{}")])])
+    assert (await router.ask(method, session)).status == 200
+    with pytest.raises(exceptions.SessionExpiredError):
+        await router.ask(method, session, ids.WorkspaceName("criers"))
