Name what the announcements and the corrected results are

From a reading of the change: two attributes of one name held different things, and one method did not say what it corrects. No behaviour changes; tests/unit passes.

--- a/src/cactusgauge/batching_transport.py
+++ b/src/cactusgauge/batching_transport.py
@@ -15,7 +15,7 @@
         return getattr(self._transport, name)
 
     def write(self, data: bytes) -> None:
-        """Queue data, which is sent before the next turn of the event loop."""
+        """Queue data, which is sent when the current turn of the event loop has ended."""
         if not self._pending:
             asyncio.get_running_loop().call_soon(self._flush)
         self._pending.append(data)
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -72,7 +72,7 @@
         self._on_job_ended = on_job_ended
         self._on_job_canceled = on_job_canceled
         self._on_jobs_started = on_jobs_started
-        self._unfinished_jobs: list[ids.JobKey] = []  # that no other process was told of yet
+        self._unannounced_jobs: list[ids.JobKey] = []  # ended without an outcome; no other process knows yet
         self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
@@ -145,7 +145,7 @@
     ) -> None:
         """Answer the callers of a job, who may send it to another entry if it has no outcome."""
         if result is scheduling.JobResult.UNFINISHED:
-            self._unfinished_jobs.append(job.key)
+            self._unannounced_jobs.append(job.key)
         self._on_job_ended(job, result, reason, retry_after_s)
 
     def request_dispatch(self) -> None:
@@ -399,8 +399,8 @@
             for peer in list(self._peers.values()):
                 self._check_peer(peer, now)
             self._scheduler.tick(now)
-            if self._unfinished_jobs:
-                jobs, self._unfinished_jobs = self._unfinished_jobs, []
+            if self._unannounced_jobs:
+                jobs, self._unannounced_jobs = self._unannounced_jobs, []
                 for first in range(0, len(jobs), messages.MAX_STARTED_JOBS):
                     self._pass_on_started(jobs[first : first + messages.MAX_STARTED_JOBS], None)
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -95,12 +95,12 @@
             return JobAnswer(scheduling.JobResult.CANCELED, CANCELED, 0)
         if self._scheduler.get_job(new.key) is not None and self.open_job(new.job) is None:
             self._journal.log_event("job_refused", job=new.key, queue=new.policy.queue, reason=JOB_ID_IN_USE)
-            result = self._correct_result(new.job, scheduling.JobResult.NOT_RUN)
+            result = self._result_given_earlier_attempts(new.job, scheduling.JobResult.NOT_RUN)
             return JobAnswer(result, JOB_ID_IN_USE, JOB_ID_RETRY_AFTER_S)
         if new.key not in self._waiting:
             refusal = self._open(new, self._scheduler)
             if refusal is not None:
-                result = self._correct_result(new.job, scheduling.JobResult.NOT_RUN)
+                result = self._result_given_earlier_attempts(new.job, scheduling.JobResult.NOT_RUN)
                 return JobAnswer(result, refusal.code, refusal.retry_after_s)
         else:
             self._extend_deadline(new, self._scheduler)
@@ -117,7 +117,7 @@
     ) -> None:
         """Answer the callers of a job."""
         queued_job = ids.QueuedJob(job.policy.queue, job.key)
-        result = self._correct_result(queued_job, result)
+        result = self._result_given_earlier_attempts(queued_job, result)
         objective_s = job.objective_at - job.arrived_at
         age_s = asyncio.get_running_loop().time() - job.arrived_at
         self._counters.add("jobs_ended", job.policy.queue, reason or result.value)
@@ -190,7 +190,7 @@
         """Return whether this entry has a job that has not ended."""
         return key in self._waiting
 
-    def _correct_result(self, job: ids.QueuedJob, result: scheduling.JobResult) -> scheduling.JobResult:
+    def _result_given_earlier_attempts(self, job: ids.QueuedJob, result: scheduling.JobResult) -> scheduling.JobResult:
         """Return the result of an attempt, which is not `NOT_RUN` if an earlier attempt has started tasks."""
         has_started = job in self._unfinished_jobs or job.key in self._started_elsewhere
         if result is scheduling.JobResult.NOT_RUN and has_started:
