Log why a refusal was answered with 504, and which silent entry was reported

A caller that got 504 left a line `job_refused` alone, which says that its job never runs. Now `job_may_have_run` follows it, with where the earlier attempt had started tasks; an agent that tells other entries of the jobs of a silent one says so in `entry_silent`. Only log lines change.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -204,7 +204,9 @@
                 outbox.is_reported_lost = False
             elif not outbox.is_reported_lost:
                 outbox.is_reported_lost = True
-                self._pass_on_started(outbox.recent_jobs)
+                if outbox.recent_jobs:
+                    self._journal.log_event("entry_silent", entry=owner, jobs=len(outbox.recent_jobs))
+                    self._pass_on_started(outbox.recent_jobs)
 
     def _pair_totals(self, owner: ids.EntryIncarnation, outbox: entry_outbox.EntryOutbox) -> accounting.PairTotals:
         service = self._controller.report().service if self._controller is not None else ""
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -192,10 +192,11 @@
 
     def _result_given_earlier_attempts(self, job: ids.QueuedJob, result: scheduling.JobResult) -> scheduling.JobResult:
         """Return the result of an attempt, which is not `NOT_RUN` if an earlier attempt has started tasks."""
-        has_started = job in self._unfinished_jobs or job.key in self._started_elsewhere
-        if result is scheduling.JobResult.NOT_RUN and has_started:
-            return scheduling.JobResult.UNFINISHED
-        return result
+        is_known_here = job in self._unfinished_jobs
+        if result is not scheduling.JobResult.NOT_RUN or not (is_known_here or job.key in self._started_elsewhere):
+            return result
+        self._journal.log_event("job_may_have_run", job=job.key, started="here" if is_known_here else "elsewhere")
+        return scheduling.JobResult.UNFINISHED
 
     @staticmethod
     def _extend_deadline(new: NewJob, scheduler: scheduling.RunScheduler) -> None:
--- a/src/cactusgauge/fleet/recent_jobs.py
+++ b/src/cactusgauge/fleet/recent_jobs.py
@@ -19,6 +19,9 @@
     def __contains__(self, job: "ids.JobKey") -> bool:
         return job in self._jobs
 
+    def __len__(self) -> int:
+        return len(self._jobs)
+
     def __iter__(self) -> "abc.Iterator[ids.JobKey]":
         return iter(self._jobs)
 
