End the runs whose lease is over before the soak judges them

Trace: agent-1 stood still from 12:20:52.4 to 53.5, while several plays and a test run were started, 2 s before the end of the soak; the lease of its runs ended by 53.03, and the tasks started elsewhere at 53.55. The stand-in of the worker ends runs when it is asked the next time, which did not happen any more, so the record still showed them at work.

The check now lets each worker end its due runs first. It misses nothing: a run that its lease covers counts as before (first case of the new test; the second one failed before).

--- a/src/emulator/leased_worker.py
+++ b/src/emulator/leased_worker.py
@@ -70,7 +70,7 @@
     @property
     def running(self) -> list[ids.RunKey]:
         """The runs in progress."""
-        self._end_due_runs()
+        self.end_due_runs()
         return [run.key for run in self._runs.values()]
 
     @property
@@ -80,7 +80,7 @@
 
     def crash(self) -> None:
         """End all runs as if the machine had failed; a listing never contains these ends."""
-        self._end_due_runs()
+        self.end_due_runs()
         now = asyncio.get_running_loop().time()
         for run in self._runs.values():
             run.ended_at, run.kind, run.has_crashed = now, scheduling.EndKind.LOST, True
@@ -117,7 +117,7 @@
         await self._apply_faults(lambda: None)
         if not self._check_token(fencing_token):
             raise runs.FencedError(self.clock_s)
-        self._end_due_runs()
+        self.end_due_runs()
         if lease_until_s is not None:
             self._extend_lease(lease_until_s)
         self._ends = [end for end in self._ends if end.number > acknowledged]
@@ -127,7 +127,7 @@
             await asyncio.sleep(0.005)
             if self.is_down or self._incarnation != incarnation:
                 raise runs.WorkerCallError("connection reset")
-            self._end_due_runs()
+            self.end_due_runs()
         return runs.WorkerListing(self.clock_s, self._incarnation, self.running, list(self._ends))
 
     async def _apply_faults(self, request: "abc.Callable[[], object]") -> None:
@@ -143,7 +143,7 @@
             raise runs.WorkerCallError("worker did not reply")
 
     def _start(self, request: runs.StartRequest) -> runs.StartReply:
-        self._end_due_runs()
+        self.end_due_runs()
         key = request.key
         if not self._check_token(request.fencing_token):
             return runs.StartReply(runs.StartStatus.FENCED, self.clock_s)
@@ -165,7 +165,7 @@
         return runs.StartReply(runs.StartStatus.STARTED, self.clock_s)
 
     def _stop(self, key: ids.RunKey, fencing_token: int) -> bool:
-        self._end_due_runs()
+        self.end_due_runs()
         if not self._check_token(fencing_token):
             return False
         self._highest_runs[key.task] = max(self._highest_runs.get(key.task, 0), key.run)
@@ -184,8 +184,8 @@
         """Extend the lease to a time by the worker's clock, but to at most one second from now."""
         self._lease_until_s = max(self._lease_until_s, min(until_s, self.clock_s + 1.0))
 
-    def _end_due_runs(self) -> None:
-        """End the runs that are completed, stopped or out of their lease by now."""
+    def end_due_runs(self) -> None:
+        """End the runs that are completed, stopped or out of their lease by now; each request does so first."""
         now = asyncio.get_running_loop().time()
         lease_end = self._started_at + self._lease_until_s / self._clock_rate
         for run in list(self._runs.values()):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -35,6 +35,8 @@
     records: "dict[str, callers_module.JobRecord]", incarnations: "abc.Sequence[worker_module.Incarnation]"
 ) -> list[Finding]:
     """Return every broken promise about jobs, tasks and workers."""
+    for incarnation in incarnations:
+        incarnation.worker.end_due_runs()  # otherwise it does so with the next request
     runs = [run for incarnation in incarnations for run in incarnation.worker.history]
     by_job: dict[str, list[leased_worker.RunRecord]] = collections.defaultdict(list)
     for run in runs:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cactusgauge import ids, scheduling
+from cactusgauge import ids, runs, scheduling
 from emulator import leased_worker
 from tests.soak import callers, faults, promises, worker
 
@@ -52,6 +52,22 @@
     assert observed.broken_promises() == ["one run of a task at a time"]
 
 
+@pytest.mark.parametrize(("later_s", "expected"), [(0.3, ["one run of a task at a time"]), (0.7, [])])
+async def test_run_ends_with_its_lease_although_nobody_asks_its_worker(
+    observed: ObservedJob, later_s: float, expected: list[str]
+) -> None:
+    """Guards against a false finding for a run whose lease ended at a worker that is not asked again (seed 8004)."""
+    observed.records[observed.record.job].profile = callers.JobProfile("/jobs/", 1, 1000, 0.1, 5.0)
+    silent = leased_worker.LeasedWorker(lambda key: 30.0)
+    observed.incarnation.worker = silent
+    key = ids.RunKey(ids.JobKey(observed.record.job), 0, 0, 1)
+    started_at = asyncio.get_running_loop().time()
+    await silent.start(runs.StartRequest(key, "p", silent.clock_s + 0.5, 1))
+    await asyncio.sleep(0.6)
+    observed.add_run(2, started_at + later_s, started_at + 1.0)
+    assert observed.broken_promises() == expected
+
+
 async def test_worker_above_its_capacity(observed: ObservedJob) -> None:
     """Guards against a check that misses tasks beyond a worker's cores."""
     observed.record.profile = callers.JobProfile("/jobs/", 2, 9000, 0.1, 5.0)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
     pytest.param(126, USUAL_S, True, id="job given up although one of its starts never reached the crashed worker"),
     pytest.param(103, USUAL_S, True, id="the same as seed 126"),
     pytest.param(7211, USUAL_S, True, id="job given up as its worker restarted twice at once"),
+    pytest.param(8015, USUAL_S, True, id="job given up for two crashes that another one caused beside it"),
     pytest.param(243, USUAL_S, True, id="exit status 255 of an entry"),
     pytest.param(244, USUAL_S, True, id="job refused as overloaded after the recovery"),
 ]
