Announce started jobs with the heartbeats, not one by one

Each job without an outcome went through the whole fleet in messages of its own, some hundreds of them at 14 entries and 76 agents, and a burst of missed deadlines is when entries have no time for them.

Entries now collect these jobs, their own and those that agents report, and send them every 150 ms. A job is known to entries without a common agent after 0.3 s, or after 1.0 s if its entry was lost; callers return after 1.3.

The new test counts one message for four jobs (at most two, if a heartbeat falls between).

--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -72,7 +72,7 @@
         self._on_job_ended = on_job_ended
         self._on_job_canceled = on_job_canceled
         self._on_jobs_started = on_jobs_started
-        self._unannounced_jobs: list[ids.JobKey] = []  # ended without an outcome; no other process knows yet
+        self._unannounced_jobs: list[ids.JobKey] = []  # without an outcome, here or elsewhere; announced next
         self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
@@ -303,9 +303,7 @@
         elif isinstance(message, messages.CancelJob):
             self._on_job_canceled(message.job, CANCELED_ELSEWHERE)
         elif isinstance(message, messages.StartedJobs):
-            new_jobs = self._on_jobs_started(message.jobs)
-            if new_jobs:
-                self._pass_on_started(new_jobs, peer)
+            self._unannounced_jobs += self._on_jobs_started(message.jobs)
         elif isinstance(message, scheduling.WorkerCrash):
             self._handle_crash(peer, message, now)
         elif isinstance(message, messages.DocumentRequest):
@@ -332,11 +330,17 @@
         peer.is_lost = False
         self._scheduler.update_worker(view, report, message.handled_start, now)
 
-    def _pass_on_started(self, jobs: list[ids.JobKey], source: agent_peer.AgentPeer | None) -> None:
-        """Tell the other entries, through the agents, of started jobs that the callers may send to them."""
-        for peer in self._peers.values():
-            if peer is not source and peer.link is not None:
-                peer.link.post(messages.StartedJobs(jobs))
+    def _announce_started_jobs(self) -> None:
+        """Tell the other entries, through the agents, of started jobs that the callers may send to them.
+
+        At a burst of jobs without an outcome, a message for each of them would reach all processes.
+        """
+        jobs, self._unannounced_jobs = self._unannounced_jobs, []
+        for first in range(0, len(jobs), messages.MAX_STARTED_JOBS):
+            message = messages.StartedJobs(jobs[first : first + messages.MAX_STARTED_JOBS])
+            for peer in self._peers.values():
+                if peer.link is not None:
+                    peer.link.post(message)
 
     def _handle_crash(self, peer: agent_peer.AgentPeer, crash: scheduling.WorkerCrash, now: float) -> None:
         """Count a crash and pass it on to all agents, and through them to entries without a link to its agent."""
@@ -389,6 +393,7 @@
             self._scheduler.entry_count = len(entries)
             for peer in self._peers.values():
                 peer.send_grant_if_due(self._cache.version, entries, self._scheduler.has_runs_on_agent(peer.name))
+            self._announce_started_jobs()
             self._monitor.check(asyncio.get_running_loop().time())
             await asyncio.sleep(runs.HEARTBEAT_INTERVAL_S)
 
@@ -399,10 +404,6 @@
             for peer in list(self._peers.values()):
                 self._check_peer(peer, now)
             self._scheduler.tick(now)
-            if self._unannounced_jobs:
-                jobs, self._unannounced_jobs = self._unannounced_jobs, []
-                for first in range(0, len(jobs), messages.MAX_STARTED_JOBS):
-                    self._pass_on_started(jobs[first : first + messages.MAX_STARTED_JOBS], None)
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _check_peer(self, peer: agent_peer.AgentPeer, now: float) -> None:
--- a/tests/unit/fleet/test_fleet.py
+++ b/tests/unit/fleet/test_fleet.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cactusgauge import fleet, ids, scheduling, wire
-from cactusgauge.fleet import agent_link_client
+from cactusgauge.fleet import agent_link_client, messages
 from tests.unit.fleet import conftest
 
 if TYPE_CHECKING:
@@ -230,6 +230,27 @@
     assert unknown is not None and unknown.result is NOT_RUN
 
 
+async def test_burst_of_unfinished_jobs_leads_to_few_messages(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a message through the whole fleet for each job that misses its deadline under overload."""
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    agent.duration_s = 20.0
+    disconnected = asyncio.Event()
+    async with conftest.running(entry, agent):
+        await conftest.until(lambda: entry.link_server.has_workers)
+        submitting = [asyncio.create_task(entry.submit(f"j{number}", disconnected=disconnected)) for number in range(4)]
+        await conftest.until(lambda: len(agent.worker.starts) == 4)
+        (peer,) = entry.link_server._peers.values()
+        posted: list[messages.Message] = []
+        monkeypatch.setattr(peer.link, "post", posted.append)
+        disconnected.set()
+        await asyncio.gather(*submitting)
+        await conftest.until(lambda: any(isinstance(message, messages.StartedJobs) for message in posted))
+        await asyncio.sleep(0.3)
+    announced = [len(message.jobs) for message in posted if isinstance(message, messages.StartedJobs)]
+    assert sum(announced) == 4 and len(announced) <= 2
+
+
 async def test_started_job_becomes_known_to_an_entry_without_a_common_agent() -> None:
     """Guards against a false refusal in a fleet in which each agent links to a few of the entries."""
     first, middle, other = conftest.Entry("e1", []), conftest.Entry("e2", []), conftest.Entry("e3", [])
