End the emulated backend server if its port is taken, and tell what a setup waited for

One cause that looks the same was found by reading: a backend server whose port is taken kept running and announced the port, so that its agent was available and all its tasks went to another process or nowhere. It now ends with an error.

--- a/src/emulator/backend_server.py
+++ b/src/emulator/backend_server.py
@@ -284,7 +284,10 @@
             await reporter.open()
             background.append(asyncio.create_task(reporter.run()))
         background.append(asyncio.create_task(_announce(server, name, task_url, agent_url)))
-        await stop.wait()
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait({stopping, serving}, return_when=asyncio.FIRST_COMPLETED)
+        if serving.done():  # the port cannot be bound; the agent must not be left with a server that gets no tasks
+            await serving
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
@@ -346,7 +349,10 @@
     """Run an emulated backend server."""
     server = BackendServer(name, speed, slots, seed, Faults(fail, drop, refuse, straggle), journal)
     reports = ReportOptions(log_url, worker or name, workspace, report_interval_s, report_lag_s) if log_url else None
-    asyncio.run(_serve(server, name, host, port, announced_port, agent_url, reports))
+    try:
+        asyncio.run(_serve(server, name, host, port, announced_port, agent_url, reports))
+    except exceptions.SettingsError as error:
+        raise click.ClickException(str(error)) from error
 
 
 if __name__ == "__main__":
--- a/src/emulator/cluster.py
+++ b/src/emulator/cluster.py
@@ -224,9 +224,10 @@
             if time.monotonic() > end:
                 exit_codes = {name: each.process.poll() for name, each in self._handles.items()}
                 ended = {name: code for name, code in exit_codes.items() if code is not None}
+                lines = {path.stem: len(self.journal(path.stem)) for path in self._directory.glob("*.journal")}
                 raise TimeoutError(
                     f"timed out after {timeout_s} s waiting until {description}; logs are in {self._directory}; "
-                    f"ended processes: {ended}"
+                    f"ended processes: {ended}; lines of journals: {lines}"
                 )
             time.sleep(POLL_INTERVAL_S)
 
--- a/tests/system/load.py
+++ b/tests/system/load.py
@@ -50,6 +50,12 @@
         self._stop.set()
         self._executor.shutdown()
 
+    def check_callers(self) -> None:
+        """Raise the error of a caller that has ended early."""
+        for future in self._futures:
+            if future.done():
+                future.result()
+
     def finish(self) -> dict[str, int]:
         """Stop the callers, check every answer and count the jobs by final state or error code."""
         self._stop.set()
--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -1,5 +1,6 @@
 """A backend server that leaves or goes silent gets no start more than 3 s later (G6)."""
 
+import functools
 import signal
 import time
 from collections import abc
@@ -29,10 +30,13 @@
         for name in ENTRIES:
             started.wait_linked(name, 1 + len(LEAVING))
         with load.Load(started, ENTRIES, callers=16, tasks=10, run_ms=200) as running:
+
+            def has_work(number: int) -> bool:
+                running.check_callers()
+                return len(started.journal(f"server-{number}")) > 8
+
             for number in LEAVING:
-                started.wait_until(
-                    lambda number=number: len(started.journal(f"server-{number}")) > 8, f"server-{number} has work"
-                )
+                started.wait_until(functools.partial(has_work, number), f"server-{number} has work")
             yield started
             assert running.finish()["complete"]
 
