Start the load of test_leaving only once the entries are linked

Cause: the setup waited for the workers, not for the link between the two entries. Every caller sends the jobs of a session first to the other entry. One that is not linked to the owner seals the session at all agents and answers with what they have on record; after that no task of the session starts, though the link comes up.

The setup now waits for the link, as those of test_planned_stop and test_owner_faults do. What the tests check is unchanged. That a session stays sealed after a short loss of the link between entries is a matter of its own.

--- a/tests/system/test_leaving.py
+++ b/tests/system/test_leaving.py
@@ -29,6 +29,8 @@
         started.wait_ready(*ENTRIES)
         for name in ENTRIES:
             started.wait_linked(name, 1 + len(LEAVING))
+            # An entry seals the sessions of an owner that it is not linked to.
+            started.wait_peers(name, len(ENTRIES) - 1)
         with load.Load(started, ENTRIES, callers=16, tasks=10, run_ms=200) as running:
 
             def has_work(number: int) -> bool:
