--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -89,7 +89,7 @@
 class Deployment:
     """Entries, agents with a worker each, and a store; `record` collects what was sent, answered and run."""
 
-    def __init__(self, record_path, entries=3, agents=3, cpu=64_000, bounds=None, least_ready=None, with_link_proxies=False):
+    def __init__(self, record_path, entries=3, agents=3, cpu=64_000, bounds=None, least_ready=None, with_proxies=False):
         self._record_path = record_path
         self._lines = []
         self._began = time.monotonic()
@@ -100,7 +100,8 @@
         self._least_ready = least_ready or entries
         self.ready = []
         self.link_proxies = []  # one for each entry, if there are any
-        self._with_link_proxies = with_link_proxies
+        self.front_proxies = []
+        self._with_proxies = with_proxies
         self.entries, self.agents, self.workers = [], [], []
         self.store = None
         self.session = None
@@ -166,7 +167,8 @@
         return self._stores[process.name]
 
     def front(self, number):
-        return f"{self._ip(1, number)}:{self.front_port}"
+        """Return the address at which clients reach an entry."""
+        return f"{self._ip(6 if self._with_proxies else 1, number)}:{self.front_port}"
 
     def write_config(self, prefixes=(PREFIX,)):
         """Write the next version of the configuration, with a route for each path prefix."""
@@ -182,11 +184,11 @@
         self.store.put("keyed.op", "config", json.dumps(document).encode())
         self.record(f"operator: configuration {self.version} with the routes {', '.join(prefixes)}")
 
-    async def call(self, method, entry, job, body=None, deadline_s=10.0):
-        """Send a request to an entry; return status and body, or 0 and None without a complete answer."""
+    async def call(self, method, entry, job, body=None, deadline_s=10.0, says_deadline=True):
+        """Send a request to an entry; return status and body, or 0 and None without a complete answer in time."""
         url = f"http://{self.front(entry)}{PREFIX}{job}"
         self.record(f"client: {method} {job or '(pending)'} to {self.entries[entry].name}")
-        headers = {"Host": HOST, "Deadline-Ms": str(int(deadline_s * 1000))}
+        headers = {"Host": HOST} | ({"Deadline-Ms": str(int(deadline_s * 1000))} if says_deadline else {})
         answer = 0, None
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
             async with self.session.request(
@@ -215,11 +217,14 @@
             "control_mode": "rpc", "platform": {"address": f"{address[0]}:{address[1]}", "form": "log", "keep_s": 20},
         }  # fmt: skip
         options = []
-        if role == "entry" and self._with_link_proxies:
+        if role == "entry" and self._with_proxies:
             inner = self._ip(5, number), self.link_port
             link_proxy = proxy_module.Proxy((ip, self.link_port), inner)
             self.link_proxies.append(await self._stack.enter_async_context(link_proxy))
             options = ["--link-listen", f"{inner[0]}:{inner[1]}"]
+            outer = self._ip(6, number), self.front_port
+            front_proxy = proxy_module.Proxy(outer, (ip, self.front_port))
+            self.front_proxies.append(await self._stack.enter_async_context(front_proxy))
         process = Process(role, settings, self._folder, options)
         processes.append(process)
         self._stack.push_async_callback(process.close)
--- a/review/standins2/proxy.py
+++ b/review/standins2/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+FIRST_RETRANSMISSION_S = 0.2
+
 
 class Proxy:
     """Forwards connections from `listen` to `target`, both pairs of address and port."""
@@ -43,8 +45,7 @@
             ]
             try:
                 await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-                # The end of one side crosses the cut like any other bytes.
-                await self._open.wait()
+                await self._cross(asyncio.get_running_loop().time())
             finally:
                 for pump in pumps:
                     pump.cancel()
@@ -56,6 +57,19 @@
                 if each is not None:
                     each.transport.abort()
 
+    async def _cross(self, closed_at):
+        """Wait until the end of a connection, sent at `closed_at`, has crossed the proxy.
+
+        TCP sends it again 0.2, 0.6, 1.4, 3.0, 6.2, ... s after the first time, so it may come some time after a cut.
+        """
+        loop = asyncio.get_running_loop()
+        pause_s = FIRST_RETRANSMISSION_S
+        arrives_at = closed_at
+        while not self._open.is_set():
+            arrives_at += pause_s
+            pause_s *= 2
+            await asyncio.sleep(max(0.0, arrives_at - loop.time()))
+
     async def _wait(self, reader):
         """Wait until the cut is over; raise `OSError` if the dialling side has given up by then."""
         await self._open.wait()
