Ask an announced worker who it is before anything is given up for it

Cause: an agent took what a heartbeat said for true. The highest time of start won, whatever the id, its runs were reported as lost without asking anyone, and the heartbeats of the true worker, which seemed older, were left out for good. The service was not compared with the configuration. The same happened with the id of the true worker, with an address at which nothing listens, and after a worker's clock was set back.

Change: - A heartbeat of another worker than the one in use only announces it. The announced worker is asked for its listing, which the agent needs anyway before it uses a worker. The request names its id and the listing its incarnation, so a reply proves what the heartbeat said; the time of start tells incarnations apart, but does not order them any more. - If it answers at another address than the worker in use, that one is asked too, and stays if it answers. - While a worker is announced under the id and at the address of the one in use, nothing is started there: the request might reach the new one. - A service that the newest configuration does not name announces no worker, and a worker keeps its service. While the agent has no configuration, or an older one than its entries, only the reply counts, so that a start without the store goes as before.

Why it works: runs are given up only on evidence from the worker's own address: it answers as another one, nothing listens there, or its lease is over. A restarted worker is used after one reply, as before; where a request to its predecessor was still open, the agent used to wait for that first, and no longer does.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -104,6 +104,18 @@
         """Random id of this agent process."""
         return self._incarnation
 
+    def is_service_known(self, service: ids.ServiceName) -> bool:
+        """Return False for a service that the newest configuration does not name.
+
+        While the agent can't tell which one is the newest, it takes all services for known.
+        """
+        routes = self._cache.routes
+        if routes is None or service in routes.services or not self._connections:
+            return True
+        newest = max(self._connections.values(), key=lambda connection: connection.config_version)
+        self._exchange.request_if_newer(newest.link, newest.config_version)
+        return newest.config_version > self._cache.version
+
     def take_accounts(self) -> accounting.Snapshot:
         """Return the accounts with all entries that the agent keeps."""
         pairs = [self._pair_totals(owner, outbox) for owner, outbox in self._outboxes.items()]
--- a/src/cactusgauge/fleet/route_table.py
+++ b/src/cactusgauge/fleet/route_table.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     from collections import abc
 
+    from cactusgauge import ids
+
 
 class Route(NamedTuple):
     """Maps a host and a path prefix to a queue."""
@@ -23,10 +25,13 @@
 
 
 class RouteTable:
-    """Routes by host; the longest matching prefix wins."""
+    """Routes by host; the longest matching prefix wins. `services` are the services that the configuration names."""
 
-    def __init__(self, routes: "abc.Iterable[Route]", limits: HttpLimits) -> None:
+    def __init__(
+        self, routes: "abc.Iterable[Route]", limits: HttpLimits, services: "abc.Iterable[ids.ServiceName]" = ()
+    ) -> None:
         self.limits = limits
+        self.services = frozenset(services)
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._hosts.setdefault(route.host, {})[route.path_prefix] = route
--- a/src/cactusgauge/platform/config_document.py
+++ b/src/cactusgauge/platform/config_document.py
@@ -27,6 +27,7 @@
 class _Document(pydantic.BaseModel):
     version: json_document.Count
     routes: list[_Route] = []
+    services: Any = None
     limits: _Limits = _Limits()
 
 
@@ -56,4 +57,12 @@
         for route in document.routes
     ]
     limits = fleet.HttpLimits(document.limits.max_body_bytes)
-    return document.version, fleet.RouteTable(routes, limits)
+    services = [route.policy.service for route in routes] + _service_names(document.services)
+    return document.version, fleet.RouteTable(routes, limits, services)
+
+
+def _service_names(services: Any) -> list[ids.ServiceName]:
+    """Return the names in the list of services; nothing else of it is used, so other values are ignored."""
+    rows = services if isinstance(services, list) else []
+    names = [row.get("name") for row in rows if isinstance(row, dict)]
+    return [ids.ServiceName(name) for name in names if isinstance(name, str)]
--- a/src/cactusgauge/platform/heartbeat_app.py
+++ b/src/cactusgauge/platform/heartbeat_app.py
@@ -102,9 +102,10 @@
             labels=tuple(parsed.labels),
             clock_s=parsed.clock_ms / 1000,
         )
-        if not self._controller.handle_heartbeat(heartbeat):
+        result = self._controller.handle_heartbeat(heartbeat)
+        if result is runs.HeartbeatResult.OLD:
             self._counters.add("heartbeats_old", "", worker)
-        return 200
+        return 400 if result is runs.HeartbeatResult.REFUSED else 200
 
     def _reject(self, worker: str, reason: str) -> None:
         self._journal.log_event("heartbeat_unreadable", worker=worker[:MAX_LOGGED_ID_LENGTH], error=reason)
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -180,7 +180,7 @@
         def connect(heartbeat: runs.WorkerHeartbeat) -> runs.WorkerClient:
             return http_worker_client.HttpWorkerClient(worker_session, f"http://{heartbeat.address}", heartbeat.worker)
 
-        controller = runs.RunController(node.timing, settings.heartbeat_s, connect, agent)
+        controller = runs.RunController(node.timing, settings.heartbeat_s, connect, agent.is_service_known, agent)
         async with agent, controller:
             app = heartbeat_app.HeartbeatApp(controller, node.counters, node.journal)
             server = node.create_server("control", app, 60)
--- a/src/cactusgauge/runs/__init__.py
+++ b/src/cactusgauge/runs/__init__.py
@@ -15,7 +15,7 @@
     WorkerRunEnd,
     WrongWorkerError,
 )
-from cactusgauge.runs.worker_heartbeat import WorkerHeartbeat
+from cactusgauge.runs.worker_heartbeat import HeartbeatResult, WorkerHeartbeat
 
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
@@ -23,6 +23,7 @@
     "RECENT_START_S",
     "SUSPECT_AFTER_S",
     "FencedError",
+    "HeartbeatResult",
     "NewRun",
     "RunController",
     "RunObserver",
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -6,7 +6,15 @@
 from typing import TYPE_CHECKING, Self
 
 from cactusgauge import background, ids, scheduling
-from cactusgauge.runs import run_registry, timing, worker_client, worker_heartbeat, worker_lease
+from cactusgauge.runs import (
+    announced_workers,
+    fencing_token,
+    run_registry,
+    timing,
+    worker_client,
+    worker_heartbeat,
+    worker_lease,
+)
 
 if TYPE_CHECKING:
     from collections import abc as collections_abc
@@ -16,7 +24,6 @@
 RETRY_PAUSE_S = 0.02
 MISSED_HEARTBEATS = 3
 RECENT_START_S = 0.1  # a task that crashes the worker that starts it does so within this time
-MAX_TOKEN = 2**53  # largest integer that every JSON parser represents exactly
 NO_REPLY = "no_reply"
 WORKER_CHANGED = "worker_changed"  # the run was meant for an earlier incarnation, possibly of another kind
 
@@ -47,7 +54,7 @@
     A run is in the registry from its start request until it is certainly gone. The lease is renewed only while the
     agent holds grants: the runs of an entry whose grant has ended are stopped, and without runs there is no renewal.
     A grant is the time-limited right of an entry's runs to continue here. `connect` returns a client for the worker
-    that sent a heartbeat.
+    that a heartbeat describes. `is_service_known` returns False for a service that the configuration does not name.
     """
 
     def __init__(
@@ -55,12 +62,16 @@
         timing_: timing.RunTiming,
         heartbeat_interval_s: float,
         connect: "collections_abc.Callable[[worker_heartbeat.WorkerHeartbeat], worker_client.WorkerClient]",
+        is_service_known: "collections_abc.Callable[[ids.ServiceName], bool]",
         observer: RunObserver,
     ) -> None:
         self._timing = timing_
-        self._heartbeat_interval_s = heartbeat_interval_s
-        self._connect = connect
+        self._silent_after_s = MISSED_HEARTBEATS * heartbeat_interval_s
+        self._is_service_known = is_service_known
         self._observer = observer
+        self._announced = announced_workers.AnnouncedWorkers(
+            connect, self._decide, self._handle_refused_worker, self._silent_after_s, observer.log_event
+        )
         now = asyncio.get_running_loop().time()
         self._registry = run_registry.RunRegistry(now)
         self._grants: dict[ids.EntryIncarnation, float] = {}  # end of each grant on the loop's clock
@@ -68,8 +79,8 @@
         self._heartbeat_at = now
         self._client: worker_client.WorkerClient | None = None
         self._lease: worker_lease.WorkerLease | None = None
-        self._incarnation = 0  # of the worker that requests are sent to; taken from its heartbeats and listings
-        self._token = 0  # fencing token of requests; the worker refuses a token lower than one that it has seen
+        self._incarnation = 0  # of the worker that requests are sent to; taken from its listings
+        self._token = fencing_token.FencingToken(0.0)
         self._generation = 0  # counts the incarnations seen
         self._is_recovered = False  # whether a listing has shown only runs that are in the registry
         self._is_down = True  # until a heartbeat arrives, also after a refused connection or the loss of the worker
@@ -94,13 +105,23 @@
             return scheduling.WorkerPhase.ABSENT
         if self._heartbeat.incarnation != self._incarnation:
             return scheduling.WorkerPhase.ABSENT  # the new incarnation has not reported its capacity yet
-        age_s = asyncio.get_running_loop().time() - self._heartbeat_at
-        if age_s > MISSED_HEARTBEATS * self._heartbeat_interval_s or self._is_stop_overdue():
+        if self._is_silent or self._is_contested or self._is_stop_overdue():
             return scheduling.WorkerPhase.ABSENT
         if self._heartbeat.is_draining or self._is_draining:
             return scheduling.WorkerPhase.DRAINING
         return scheduling.WorkerPhase.READY
 
+    @property
+    def _is_silent(self) -> bool:
+        return asyncio.get_running_loop().time() - self._heartbeat_at > self._silent_after_s
+
+    @property
+    def _is_contested(self) -> bool:
+        """Whether requests may reach another incarnation under the same id, possibly of another kind."""
+        return self._heartbeat is not None and self._announced.has_pending(
+            self._heartbeat.worker, self._heartbeat.address
+        )
+
     async def __aenter__(self) -> Self:
         self._spawn(background.keep_running("worker_poll", self._poll_forever, self._observer.log_event))
         return self
@@ -108,6 +129,7 @@
     async def __aexit__(self, *exception: object) -> None:
         if self._grant_timer is not None:
             self._grant_timer.cancel()
+        await self._announced.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -138,27 +160,17 @@
             round(self._registry.slowness(now), 3),
         )
 
-    def handle_heartbeat(self, heartbeat: worker_heartbeat.WorkerHeartbeat) -> bool:
-        """Process a heartbeat of the worker; return whether it is newer than the last one."""
+    def handle_heartbeat(self, heartbeat: worker_heartbeat.WorkerHeartbeat) -> worker_heartbeat.HeartbeatResult:
+        """Process a heartbeat of the worker in use; any other worker is used only once it has answered for itself."""
         known = self._heartbeat
-        if known is not None and heartbeat.incarnation < self._incarnation:
-            return False
-        is_same_worker = known is not None and known.worker == heartbeat.worker
-        if known is None or not is_same_worker or heartbeat.incarnation > self._incarnation:
-            self._begin_incarnation(heartbeat.worker, heartbeat.incarnation, heartbeat.clock_s, is_same_worker)
-        elif heartbeat.incarnation == known.incarnation and heartbeat.sequence <= known.sequence:
-            return False
-        previous_phase = self.phase
-        if known is None or not is_same_worker or known.address != heartbeat.address or self._client is None:
-            self._client = self._connect(heartbeat)
-        self._heartbeat = heartbeat
-        self._heartbeat_at = asyncio.get_running_loop().time()
-        self._registry.capacity = heartbeat.capacity
-        self._is_down = False
-        if self.phase is not previous_phase:
-            self._log_phase("heartbeat")
-            self._observer.on_report_changed()
-        return True
+        if known is None or not self._is_in_use(heartbeat):
+            return self._announce(heartbeat)
+        if heartbeat.service != known.service and not self._may_change_service(known, heartbeat):
+            return self._refuse(heartbeat, "a worker keeps its service")
+        if heartbeat.service == known.service and self._is_old(known, heartbeat):
+            return worker_heartbeat.HeartbeatResult.OLD
+        self._apply(heartbeat, asyncio.get_running_loop().time())
+        return worker_heartbeat.HeartbeatResult.APPLIED
 
     def handle_leave(self, worker: ids.WorkerId) -> None:
         """Process the worker's notice that it is about to stop."""
@@ -228,6 +240,125 @@
             return "stale_order"
         return ""
 
+    def _is_in_use(self, heartbeat: worker_heartbeat.WorkerHeartbeat) -> bool:
+        """Return whether a heartbeat describes the worker that requests are sent to."""
+        known = self._heartbeat
+        return (
+            self._client is not None
+            and known is not None
+            and heartbeat.incarnation == self._incarnation
+            and (heartbeat.worker, heartbeat.address) == (known.worker, known.address)
+        )
+
+    def _is_old(self, known: worker_heartbeat.WorkerHeartbeat, heartbeat: worker_heartbeat.WorkerHeartbeat) -> bool:
+        return heartbeat.incarnation == known.incarnation and heartbeat.sequence <= known.sequence
+
+    def _may_change_service(
+        self, known: worker_heartbeat.WorkerHeartbeat, heartbeat: worker_heartbeat.WorkerHeartbeat
+    ) -> bool:
+        """Return whether a heartbeat with another service may follow, as the one before was of another writer."""
+        if not self._is_service_known(heartbeat.service):
+            return False
+        return heartbeat.incarnation != known.incarnation or not self._is_service_known(known.service)
+
+    def _announce(self, heartbeat: worker_heartbeat.WorkerHeartbeat) -> worker_heartbeat.HeartbeatResult:
+        """Ask the worker that a heartbeat describes whether it is there; the one in use stays in use meanwhile."""
+        if not self._is_service_known(heartbeat.service):
+            return self._refuse(heartbeat, "the configuration does not name its service")
+        token = fencing_token.FencingToken(heartbeat.clock_s)
+        if self._heartbeat is not None and heartbeat.worker == self._heartbeat.worker:
+            # These requests may reach the worker in use, which must not fence the others then.
+            self._token.advance()
+            token = self._token
+        previous_phase = self.phase
+        self._announced.add(heartbeat, token)
+        self._report_phase(previous_phase, "announcement")
+        return worker_heartbeat.HeartbeatResult.ASKING
+
+    def _refuse(self, heartbeat: worker_heartbeat.WorkerHeartbeat, reason: str) -> worker_heartbeat.HeartbeatResult:
+        self._observer.log_event(
+            "heartbeat_refused",
+            worker=heartbeat.worker,
+            life=heartbeat.incarnation,
+            service=heartbeat.service,
+            reason=reason,
+        )
+        return worker_heartbeat.HeartbeatResult.REFUSED
+
+    def _handle_refused_worker(self, announcement: announced_workers.Announcement) -> None:
+        """Accept runs again if the refused worker was announced under the id of the one in use."""
+        if self._heartbeat is not None and announcement.heartbeat.worker == self._heartbeat.worker:
+            self._log_phase("announcement_refused")
+            self._observer.on_report_changed()
+
+    async def _decide(
+        self, announcement: announced_workers.Announcement, listing: worker_client.WorkerListing
+    ) -> announced_workers.Verdict:
+        """Use an announced worker that has answered, unless the worker in use answers as well."""
+        if self._is_in_use(announcement.heartbeat):
+            self.handle_heartbeat(announcement.heartbeat)  # a listing has shown it meanwhile
+            return announced_workers.Verdict.ACCEPTED
+        if not self._is_service_known(announcement.heartbeat.service):
+            announcement.refusal = "the configuration does not name its service"
+            return announced_workers.Verdict.REFUSED
+        client = self._client
+        verdict = await self._compare_with_worker_in_use(announcement)
+        if self._client is not client:
+            return announced_workers.Verdict.UNDECIDED
+        if verdict is announced_workers.Verdict.ACCEPTED:
+            self._replace_worker(announcement, listing)
+        return verdict
+
+    async def _compare_with_worker_in_use(
+        self, announcement: announced_workers.Announcement
+    ) -> announced_workers.Verdict:
+        known, client, lease = self._heartbeat, self._client, self._lease
+        if known is None or client is None or lease is None or self._is_down:
+            return announced_workers.Verdict.ACCEPTED
+        if announcement.heartbeat.address == known.address or not self._is_service_known(known.service):
+            return announced_workers.Verdict.ACCEPTED
+        try:
+            listing = await client.poll(self._token.value, self._acknowledged_end, None, 0.0)
+        except (worker_client.WorkerDownError, worker_client.WrongWorkerError):
+            return announced_workers.Verdict.ACCEPTED
+        except worker_client.FencedError:
+            return announced_workers.Verdict.UNDECIDED
+        except worker_client.WorkerCallError:
+            return announced_workers.Verdict.ACCEPTED if lease.has_expired else announced_workers.Verdict.UNDECIDED
+        if listing.incarnation not in (0, self._incarnation):
+            return announced_workers.Verdict.ACCEPTED
+        announcement.refusal = "the worker in use answers"
+        return announced_workers.Verdict.REFUSED
+
+    def _replace_worker(
+        self, announcement: announced_workers.Announcement, listing: worker_client.WorkerListing
+    ) -> None:
+        """Send requests to an announced worker from now on; its first listing is known."""
+        heartbeat = announcement.heartbeat
+        is_same_worker = self._heartbeat is not None and self._heartbeat.worker == heartbeat.worker
+        self._begin_incarnation(
+            heartbeat.worker, heartbeat.incarnation, listing.clock_s, announcement.token, is_same_worker
+        )
+        self._client = announcement.client
+        self._failing_since = None
+        self._apply(heartbeat, announcement.heard_at)
+        self._listing_number += 1
+        self._process_listing(listing, self._listing_number)
+        self._observer.on_report_changed()
+
+    def _apply(self, heartbeat: worker_heartbeat.WorkerHeartbeat, heard_at: float) -> None:
+        previous_phase = self.phase
+        self._heartbeat = heartbeat
+        self._heartbeat_at = heard_at
+        self._registry.capacity = heartbeat.capacity
+        self._is_down = False
+        self._report_phase(previous_phase, "heartbeat")
+
+    def _report_phase(self, previous: scheduling.WorkerPhase, cause: str) -> None:
+        if self.phase is not previous:
+            self._log_phase(cause)
+            self._observer.on_report_changed()
+
     def _is_stop_overdue(self) -> bool:
         """Return whether the worker should have confirmed the stop of an unwanted run by now.
 
@@ -240,7 +371,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _begin_incarnation(self, worker: ids.WorkerId, incarnation: int, clock_s: float, is_same_worker: bool) -> None:
+    def _begin_incarnation(
+        self,
+        worker: ids.WorkerId,
+        incarnation: int,
+        clock_s: float,
+        token: fencing_token.FencingToken,
+        is_same_worker: bool,
+    ) -> None:
         """Send requests to a new incarnation of the worker from now on.
 
         A worker accepts only requests that name its id. So the runs of a worker with another id are gone. Requests for
@@ -256,14 +394,15 @@
         earlier_leases_s = self._timing.max_lease_s if is_same_worker else 0.0
         self._lease = worker_lease.WorkerLease(clock_s, self._timing.lease_s, earlier_leases_s)
         # The new incarnation may have received the previous token with such a request and would fence a lower one.
-        self._token = max(self._token + 1 if is_same_worker else 1, int(clock_s * 1000))
+        token.advance(clock_s)
+        self._token = token
         self._is_recovered = False
         self._processed_end = self._acknowledged_end = 0
         self._registry.reset_speed(asyncio.get_running_loop().time())
         for run in list(self._registry.runs):
             self._begin_stop(run, run.stop_reason or WORKER_CHANGED)
         self._observer.log_event(
-            "worker_announced", worker=worker, life=incarnation, token=self._token, same_id=is_same_worker
+            "worker_announced", worker=worker, life=incarnation, token=token.value, same_id=is_same_worker
         )
         self._poll_needed.set()
 
@@ -273,20 +412,22 @@
         self._poll_needed.set()
         reason = NO_REPLY
         for attempt in range(START_ATTEMPTS):
+            while self._is_contested:
+                await asyncio.sleep(RETRY_PAUSE_S)
             self._stop_expired_grants()
             if self._registry.get(run.key) is not run or run.phase is not run_registry.RunPhase.STARTING:
                 return
             if self._is_stop_overdue():
                 break
             run.is_crash_reported = False  # the request may start it on a worker that has restarted
+            token = self._token.value
             try:
                 with lease.extension() as lease_until_s:
-                    reply = await client.start(
-                        worker_client.StartRequest(run.key, new.payload, lease_until_s, self._token)
-                    )
+                    reply = await client.start(worker_client.StartRequest(run.key, new.payload, lease_until_s, token))
             except worker_client.WorkerDownError:
                 self._record_failure()
-                self._mark_down()
+                if self._client is client:
+                    self._mark_down()
                 if attempt == 0:
                     self._end_run(run, scheduling.EndKind.NOT_STARTED, "worker_down")
                     return
@@ -312,7 +453,7 @@
                 self._mark_running(run)
                 return
             if status is worker_client.StartStatus.FENCED:
-                self._raise_token(reply.clock_s)
+                self._raise_token(token, reply.clock_s)
             elif status is not worker_client.StartStatus.EXPIRED:
                 reason = status.value
                 if attempt == 0:
@@ -337,18 +478,18 @@
 
     async def _stop(self, run: run_registry.Run) -> None:
         while self._registry.get(run.key) is run:
-            client, generation = self._client, self._generation
+            client, generation, token = self._client, self._generation, self._token.value
             assert client is not None
             with contextlib.suppress(worker_client.WorkerCallError):
                 try:
-                    await client.stop(run.key, self._token)
+                    await client.stop(run.key, token)
                     if generation != self._generation:
                         continue  # the reply says nothing of the present incarnation
                     run.first_conclusive_listing = self._listing_number + 1
                     self._poll_needed.set()
                     return
                 except worker_client.FencedError as error:
-                    self._raise_token(error.clock_s)
+                    self._raise_token(token, error.clock_s)
                 except worker_client.WrongWorkerError:
                     self._handle_worker_gone(client)
             await asyncio.sleep(RETRY_PAUSE_S)
@@ -375,20 +516,23 @@
         has_runs = bool(self._registry.runs)
         is_extended = has_runs and self._grants and lease.can_extend and not self._is_stop_overdue()
         wait_s = timing.HEARTBEAT_INTERVAL_S if has_runs and self._is_recovered else 0.0
+        token = self._token.value
         try:
             with lease.extension() if is_extended else contextlib.nullcontext() as lease_until_s:
-                listing = await client.poll(self._token, acknowledged, lease_until_s, wait_s)
+                listing = await client.poll(token, acknowledged, lease_until_s, wait_s)
         except worker_client.FencedError as error:
-            self._raise_token(error.clock_s)
+            self._raise_token(token, error.clock_s)
             return
         except worker_client.WrongWorkerError:
             self._handle_worker_gone(client)
             return
         except worker_client.WorkerCallError as error:
+            if self._client is not client:
+                return  # the worker was replaced meanwhile
             self._record_failure()
             if isinstance(error, worker_client.WorkerDownError):
                 self._mark_down()
-            if lease.has_expired and self._client is client:
+            if lease.has_expired:
                 self._mark_all_lost("lease_over", has_crashed=self._is_down)
             await asyncio.sleep(RETRY_PAUSE_S)
             return
@@ -406,7 +550,9 @@
         """Process a listing of another incarnation under the same id; a later heartbeat reports its capacity."""
         if listing.incarnation < self._incarnation or self._heartbeat is None:
             return  # a late reply of an earlier incarnation
-        self._begin_incarnation(self._heartbeat.worker, listing.incarnation, listing.clock_s, is_same_worker=True)
+        self._begin_incarnation(
+            self._heartbeat.worker, listing.incarnation, listing.clock_s, self._token, is_same_worker=True
+        )
         self._log_phase("listing_of_new_life")
         self._observer.on_report_changed()
 
@@ -441,7 +587,7 @@
         with contextlib.suppress(
             worker_client.WorkerCallError, worker_client.FencedError, worker_client.WrongWorkerError
         ):
-            await self._client.stop(key, self._token)  # if this fails, the run is in the next listing again
+            await self._client.stop(key, self._token.value)  # if this fails, the run is in the next listing again
 
     def _schedule_grant_check(self) -> None:
         if self._grant_timer is not None:
@@ -541,7 +687,6 @@
     def _log_phase(self, cause: str) -> None:
         self._observer.log_event("worker_phase", phase=self.phase.value, cause=cause)
 
-    def _raise_token(self, clock_s: float | None) -> None:
-        # The reply does not contain the highest token, which may come from the clock of an earlier incarnation.
-        self._token = min(max(self._token * 2, int((clock_s or 0.0) * 1000)), MAX_TOKEN)
-        self._observer.log_event("fencing_token_raised", token=self._token)
+    def _raise_token(self, refused: int, clock_s: float | None) -> None:
+        if self._token.exceed(refused, clock_s):
+            self._observer.log_event("fencing_token_raised", token=self._token.value)
--- a/src/cactusgauge/runs/worker_heartbeat.py
+++ b/src/cactusgauge/runs/worker_heartbeat.py
@@ -1,5 +1,6 @@
 """The heartbeat of a worker."""
 
+import enum
 from typing import NamedTuple
 
 from cactusgauge import ids, scheduling
@@ -21,3 +22,12 @@
     capacity: scheduling.Resources
     labels: tuple[str, ...]
     clock_s: float
+
+
+class HeartbeatResult(enum.Enum):
+    """What a heartbeat has changed."""
+
+    APPLIED = "applied"
+    ASKING = "asking"  # nothing yet: the worker that it describes is asked whether it is there
+    OLD = "old"  # nothing, as a later one of the same worker has been applied
+    REFUSED = "refused"  # nothing, as it can't come from a worker that may be used
