Refuse a heartbeat in which any field is missing or of another type

Cause: the agent decoded only the fields that it uses, some of them with a default.

Unknown fields are ignored as before.

--- a/src/cactusgauge/platform/heartbeat_app.py
+++ b/src/cactusgauge/platform/heartbeat_app.py
@@ -22,18 +22,26 @@
 class _Capacity(pydantic.BaseModel):
     cpu: json_document.ResourceAmount  # thousandths of a core
     mem_mb: json_document.ResourceAmount
-    gpu: json_document.ResourceAmount = 0
+    gpu: json_document.ResourceAmount
 
 
 class _Heartbeat(pydantic.BaseModel):
+    """All fields that a worker reports, also those that are not used: another writer's heartbeat may lack some."""
+
     service: json_document.Name
     address: network_address.AddressText
+    zone: json_document.Name
+    version: json_document.Text  # of the worker's software
+    slots: json_document.Count
     state: str
+    cold_remaining_ms: json_document.DurationMs
+    remaining_ms: json_document.DurationMs = 0.0  # only while it is draining
     capacity: _Capacity
-    labels: list[json_document.Name] = pydantic.Field(default=[], max_length=MAX_LABELS)
+    labels: list[json_document.Name] = pydantic.Field(max_length=MAX_LABELS)
+    machine: json_document.Name = ""
     clock_ms: json_document.ClockMs
     seq: json_document.Count
-    born: json_document.UnixMs = 0
+    born: json_document.UnixMs
 
 
 class HeartbeatApp:
