Use a worker again after one heartbeat with a far too high number

What was seen: after a single heartbeat with a `seq` of 2^53 under the id and time of start of the true worker, all heartbeats of that worker were taken for late ones, and it got no run any more as long as its agent ran.

Cause: the highest sequence number held without an end.

Change: once the worker has been silent for three heartbeats, a lower number is accepted, as a late heartbeat arrives earlier than that. This does not hold for a draining worker, which must not be used again because of a heartbeat from before the drain.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -251,7 +251,10 @@
         )
 
     def _is_old(self, known: worker_heartbeat.WorkerHeartbeat, heartbeat: worker_heartbeat.WorkerHeartbeat) -> bool:
-        return heartbeat.incarnation == known.incarnation and heartbeat.sequence <= known.sequence
+        if heartbeat.incarnation != known.incarnation or heartbeat.sequence > known.sequence:
+            return False
+        # A number that was far too high must not silence the worker for good; late heartbeats arrive earlier than this.
+        return known.is_draining or not self._is_silent
 
     def _may_change_service(
         self, known: worker_heartbeat.WorkerHeartbeat, heartbeat: worker_heartbeat.WorkerHeartbeat
--- a/tests/unit/runs/test_announced_workers.py
+++ b/tests/unit/runs/test_announced_workers.py
@@ -259,6 +259,25 @@
         await _assert_still_used(harness, conftest.run_key())
 
 
+async def test_sequence_number_that_is_far_too_high_does_not_silence_the_worker_for_good() -> None:
+    """Guards against a worker whose heartbeats are all taken for late ones after a single other one."""
+    harness = conftest.ControllerHarness()
+    async with harness.serving():
+        harness.send_heartbeat(sequence=2**53 - 1)
+        await _serve(harness, 7.0)
+        await _assert_still_used(harness, conftest.run_key())
+
+
+async def test_late_heartbeat_from_before_the_drain_is_old() -> None:
+    """Guards against new runs on a draining worker that has been silent for a while."""
+    harness = conftest.ControllerHarness()
+    async with harness.serving():
+        harness.send_heartbeat(sequence=1000, is_draining=True)
+        await asyncio.sleep(6.0)
+        assert harness.send_heartbeat(sequence=999) is runs.HeartbeatResult.OLD
+        assert harness.controller.phase is ABSENT
+
+
 async def test_leave_notice_of_another_writer_holds_until_the_next_heartbeat() -> None:
     """Guards against a worker that gets no more runs after a leave notice that it has not sent."""
     harness = conftest.ControllerHarness()
