Pause before the next poll if a listing names an earlier incarnation

What was seen: after one listing with a time of start that is too high, an agent polled its worker without a pause (899 polls in a second of the test), until the worker was announced again.

Cause: a listing of a lower incarnation is left out as a late reply, and the loop polled again at once.

Change: the pause that follows a failed poll follows such a listing too.

Test: test_no_request_is_repeated_without_a_pause_while_a_listing_names_ an_earlier_incarnation failed before.

--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -543,21 +543,26 @@
         if self._client is not client:
             return
         if listing.incarnation and self._incarnation and listing.incarnation != self._incarnation:
-            self._handle_restarted_worker(listing)
+            if not self._handle_restarted_worker(listing):
+                await asyncio.sleep(RETRY_PAUSE_S)
             return
         lease.update_clock(listing.clock_s)
         self._acknowledged_end = max(self._acknowledged_end, acknowledged)
         self._process_listing(listing, number)
 
-    def _handle_restarted_worker(self, listing: worker_client.WorkerListing) -> None:
-        """Process a listing of another incarnation under the same id; a later heartbeat reports its capacity."""
+    def _handle_restarted_worker(self, listing: worker_client.WorkerListing) -> bool:
+        """Process a listing of another incarnation under the same id; a later heartbeat reports its capacity.
+
+        Return False for a late reply of an earlier incarnation, which is left out.
+        """
         if listing.incarnation < self._incarnation or self._heartbeat is None:
-            return  # a late reply of an earlier incarnation
+            return False
         self._begin_incarnation(
             self._heartbeat.worker, listing.incarnation, listing.clock_s, self._token, is_same_worker=True
         )
         self._log_phase("listing_of_new_life")
         self._observer.on_report_changed()
+        return True
 
     def _process_listing(self, listing: worker_client.WorkerListing, number: int) -> None:
         for end in listing.ends:
--- a/tests/unit/runs/test_announced_workers.py
+++ b/tests/unit/runs/test_announced_workers.py
@@ -308,6 +308,28 @@
         await _assert_still_used(harness, conftest.run_key(1))
 
 
+async def test_no_request_is_repeated_without_a_pause_while_a_listing_names_an_earlier_incarnation() -> None:
+    """Guards against an agent that uses up its processor because of one reply with a wrong incarnation."""
+    harness = conftest.ControllerHarness(duration_s=10.0)
+    async with harness.serving():
+        harness.start(conftest.run_key(0))
+        await harness.renew_grant(0.1)
+        calls: list[int] = []
+        poll = harness.worker.poll
+
+        async def counted_poll(
+            fencing_token: int, acknowledged: int, lease_until_s: float | None, wait_s: float
+        ) -> runs.WorkerListing:
+            calls.append(acknowledged)
+            if len(calls) == 1:
+                return runs.WorkerListing(harness.worker.clock_s, 1000, [], [])
+            return await poll(fencing_token, acknowledged, lease_until_s, 0.0)
+
+        harness.worker.poll = counted_poll  # type: ignore[method-assign]
+        await asyncio.sleep(1.0)
+        assert 2 < len(calls) < 60
+
+
 async def test_no_start_reaches_an_incarnation_that_has_not_answered_yet(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a start on a worker that is back under its id as another kind, while its replies are lost."""
     harness = conftest.ControllerHarness()
