Let another writer send heartbeats in the soak

FaultKind.FOREIGN_HEARTBEAT posts a heartbeat that names no worker to use, under the worker's id or another one, with one field missing, of another type or not named. It has random streams of its own, so the other faults of a seed stay as they are.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
 @click.option("--jobs-per-s", default=8.0, show_default=True)
 @click.option("--network", default=20, show_default=True, help="Second octet of the loopback addresses, 1 to 254.")
 @click.option("--added/--no-added", default=True, help="With the faults that were added later.", show_default=True)
+@click.option("--foreign/--no-foreign", default=True, help="With heartbeats of other writers.", show_default=True)
 @click.option("--logs", type=click.Path(path_type=pathlib.Path), help="Directory for the logs of the processes.")
 def main(
     seeds: str,
@@ -34,6 +35,7 @@
     jobs_per_s: float,
     network: int,
     added: bool,
+    foreign: bool,
     logs: pathlib.Path | None,
 ) -> None:
     """Run the soak test with the given seeds; exit with 1 if a promise was broken."""
@@ -44,7 +46,7 @@
         folder = root / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         logging.disable(logging.CRITICAL)  # the fake servers log every connection that a fault breaks
-        result = asyncio.run(soak.SoakRun(seed, seconds, size, folder, network, added).run())
+        result = asyncio.run(soak.SoakRun(seed, seconds, size, folder, network, added, foreign).run())
         click.echo(
             f"seed {seed}: {result.jobs} jobs, {result.succeeded} succeeded, {result.refused} refused, "
             f"{len(result.findings)} findings; logs in {folder}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -48,12 +48,15 @@
     CHANGE_CONFIG = "change_config"
     CRASHING_JOBS = "crashing_jobs"
     SHRINK_WORKER = "shrink_worker"
+    FOREIGN_HEARTBEAT = "foreign_heartbeat"
 
 
 RARE_KINDS = frozenset({FaultKind.KILL_ALL})
-# Drawn from a random stream of their own, so that the other faults of a seed are the same with and without these.
+# Drawn from random streams of their own, so that the other faults of a seed are the same with and without these.
 ADDED_KINDS = (FaultKind.CRASHING_JOBS, FaultKind.SHRINK_WORKER)
 ADDED_PER_SECOND = 0.3
+FOREIGN_KINDS = (FaultKind.FOREIGN_HEARTBEAT,)
+FOREIGN_PER_SECOND = 1.0
 
 
 class Fault(NamedTuple):
@@ -65,12 +68,16 @@
     duration_s: float
 
 
-def generate_faults(seed: int, seconds: float, per_second: float = 1.0, with_added_kinds: bool = False) -> list[Fault]:
+def generate_faults(
+    seed: int, seconds: float, with_added_kinds: bool = False, with_foreign_heartbeats: bool = False
+) -> list[Fault]:
     """Return the faults of a run, ordered by time."""
-    kinds = [kind for kind in FaultKind if kind not in ADDED_KINDS]
-    faults = _draw(random.Random(seed), kinds, seconds, per_second)
+    kinds = [kind for kind in FaultKind if kind not in (*ADDED_KINDS, *FOREIGN_KINDS)]
+    faults = _draw(random.Random(seed), kinds, seconds, 1.0)
     if with_added_kinds:
         faults += _draw(random.Random(f"{seed} added"), ADDED_KINDS, seconds, ADDED_PER_SECOND)
+    if with_foreign_heartbeats:
+        faults += _draw(random.Random(f"{seed} foreign"), FOREIGN_KINDS, seconds, FOREIGN_PER_SECOND)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -70,10 +70,12 @@
         folder: pathlib.Path,
         network: int,
         with_added_kinds: bool = False,
+        with_foreign_heartbeats: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
+        self._foreign_rng = random.Random(f"{seed} heartbeats")
         self._seconds = seconds
-        self._faults = faults.generate_faults(seed, seconds, with_added_kinds=with_added_kinds)
+        self._faults = faults.generate_faults(seed, seconds, with_added_kinds, with_foreign_heartbeats)
         self._size = size
         self._folder = folder
         self._network = network
@@ -321,6 +323,8 @@
             self._callers.crashing_share = CRASHING_SHARE
             await asyncio.sleep(fault.duration_s)
             self._callers.crashing_share = 0.0
+        elif fault.kind is kind.FOREIGN_HEARTBEAT:
+            await fake_worker.send_foreign_heartbeat(self._foreign_rng)
         elif fault.kind is kind.SHRINK_WORKER:
             fake_worker.cpu_millicores = worker.CPU_MILLICORES // 4
             await asyncio.sleep(2 * promises.SHRINK_GRACE_S * fault.target)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -198,6 +198,14 @@
         assert faults.generate_faults(seed, 45.0, with_added_kinds=True)
 
 
+def test_foreign_heartbeats_leave_the_other_faults_as_they_are() -> None:
+    """Guards against seeds that failed in the past and no longer cause the same faults."""
+    with_foreign = faults.generate_faults(4, 45.0, with_foreign_heartbeats=True)
+    others = [fault for fault in with_foreign if fault.kind not in faults.FOREIGN_KINDS]
+    assert others == faults.generate_faults(4, 45.0)
+    assert len(others) < len(with_foreign)
+
+
 def test_added_kinds_leave_the_other_faults_as_they_are() -> None:
     """Guards against seeds that failed in the past and no longer cause the same faults."""
     with_added = faults.generate_faults(4, 45.0, with_added_kinds=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,14 @@
 ]
 
 
+async def test_promises_hold_under_foreign_heartbeats(tmp_path: pathlib.Path) -> None:
+    """Guards against a heartbeat of another writer that replaces the worker of an agent (review/7)."""
+    run = soak.SoakRun(20261206, SHORT_S, soak.Size(), tmp_path, 200, with_foreign_heartbeats=True)
+    result = await run.run()
+    assert result.findings == []
+    assert result.succeeded > result.jobs / 2
+
+
 @pytest.mark.parametrize(("seed", "seconds", "with_added_kinds"), RUNS)
 async def test_promises_hold_under_faults(
     seed: int, seconds: float, with_added_kinds: bool, tmp_path: pathlib.Path
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -19,6 +19,19 @@
 MAX_BODY_BYTES = 1 << 20
 MS_PER_S = 1000
 CPU_MILLICORES = 16_000
+UNUSED_PORT = 9
+MISSING = object()  # value of a field that a heartbeat does not have
+# What makes a heartbeat one of another writer, which names no worker to use.
+FOREIGN_CHANGES: tuple[dict[str, Any], ...] = (
+    {"service": "telemetry"},
+    {"state": "starting"},
+    {"slots": "8"},
+    {"zone": MISSING},
+    {"version": 1},
+    {"capacity": {"cpu": 64_000}},
+    {"labels": MISSING},
+    {"born": MISSING},
+)
 MEMORY_MB = 32_000
 END_KIND_NAMES = {
     scheduling.EndKind.DONE: "done",
@@ -115,25 +128,48 @@
                 await self._send_heartbeat(session)
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _send_heartbeat(self, session: aiohttp.ClientSession) -> None:
-        incarnation = self.incarnation
-        self._sequence += 1
-        reports_draining = self.is_draining
-        cpu_millicores = self.cpu_millicores
+    async def send_foreign_heartbeat(self, rng: random.Random) -> None:
+        """Send the agent a heartbeat of another writer, which seems to come from a later start of some worker."""
+        host = self._address.partition(":")[0]
         body = {
+            **self._heartbeat(),
+            "address": rng.choice([self._address, f"{host}:{UNUSED_PORT}"]),
+            "clock_ms": rng.choice([1000, 10**9]),
+            "seq": 10**6,
+            "born": self.incarnation.number + rng.choice([0, 10**6]),
+            **rng.choice(FOREIGN_CHANGES),
+        }
+        body = {field: value for field, value in body.items() if value is not MISSING}
+        url = f"{self._control_url}/-/instances/{rng.choice([self.incarnation.instance, 'x-0'])}/heartbeat"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with (
+                aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session,
+                session.post(url, json=body),
+            ):
+                pass
+
+    def _heartbeat(self) -> dict[str, Any]:
+        return {
             "service": self._service,
             "address": self._address,
             "zone": "a",
             "version": "v1",
             "slots": 8,
-            "state": "draining" if reports_draining else "ready",
+            "state": "draining" if self.is_draining else "ready",
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": cpu_millicores, "mem_mb": MEMORY_MB, "gpu": 0},
+            "capacity": {"cpu": self.cpu_millicores, "mem_mb": MEMORY_MB, "gpu": 0},
             "labels": ["a", f"r{self._number // 3}"],
-            "clock_ms": int(incarnation.worker.clock_s * MS_PER_S),
+            "clock_ms": int(self.incarnation.worker.clock_s * MS_PER_S),
             "seq": self._sequence,
-            "born": incarnation.number,
+            "born": self.incarnation.number,
         }
+
+    async def _send_heartbeat(self, session: aiohttp.ClientSession) -> None:
+        incarnation = self.incarnation
+        self._sequence += 1
+        reports_draining = self.is_draining
+        cpu_millicores = self.cpu_millicores
+        body = self._heartbeat()
         url = f"{self._control_url}/-/instances/{incarnation.instance}/heartbeat"
         # The agent may be down; the next heartbeat tries again.
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
