Do not lose the exit status of a process that the soak signals

Cause: in the soak, not in the entry. asyncio's Process.send_signal calls Popen.send_signal, which first polls. If the process has just ended, the poll reads its status, and asyncio reports 255 for the one it can't read any more.

Change: signals are sent to the pid, while no status has been reported.

--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -33,7 +34,7 @@
     async def __aexit__(self, *exception: object) -> None:
         process = self._process
         if process is not None and process.returncode is None:
-            process.kill()
+            self._signal(signal.SIGKILL)
             await process.wait()
 
     async def keep_running(self) -> None:
@@ -81,6 +82,7 @@
             )
 
     def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None:
+        # `Process.send_signal` would read the status of a process that has just exited, which is lost to asyncio then.
+        if self._process is not None and self._process.returncode is None:
             with contextlib.suppress(ProcessLookupError):  # it has exited and is about to be restarted
-                self._process.send_signal(number)
+                os.kill(self._process.pid, number)
