Tell entries of cancellations that they can't read from the store

Cause, the same for all: a cancellation was sent over links once, for one hop, and only if the entry did not have the job.

Change: CanceledJobs takes the place of CancelJob. At the start of a link both ends tell each other of the last 500, the agent before its first report, without which an entry starts nothing. The store stays what acknowledges.

Tests: the three in tests/unit/fleet/test_cancellations.py and test_cancellation_of_an_open_job_reaches_entries_without_the_store failed before.

--- a/src/cactusgauge/fleet/agent_link_client.py
+++ b/src/cactusgauge/fleet/agent_link_client.py
@@ -93,7 +93,8 @@
         self._refused_owners: set[ids.EntryIncarnation] = set()
         self._recent_crashes = recent_crashes.RecentCrashes()
         self._crash_ledger = scheduling.CrashLedger()
-        self._passed_on_jobs = recent_jobs.RecentJobs(MAX_PASSED_ON_JOBS)
+        self._passed_on_jobs = recent_jobs.RecentJobs[ids.JobKey](MAX_PASSED_ON_JOBS)
+        self._canceled_jobs = recent_jobs.RecentJobs[ids.QueuedJob](messages.MAX_CANCELED_JOBS)
         self._exchange = config_exchange.ConfigExchange(cache)
         self._copy_schedule = config_exchange.CopySchedule()
         self._controller: runs.RunController | None = None
@@ -208,6 +209,20 @@
             if connection is not source:
                 connection.link.post(messages.StartedJobs(new_jobs))
 
+    def _handle_cancellations(
+        self, jobs: "abc.Iterable[ids.QueuedJob]", source: _EntryConnection, controller: runs.RunController
+    ) -> None:
+        """Stop the runs of cancelled jobs whose entries are not linked, and tell all entries but the source."""
+        new_jobs = self._canceled_jobs.add(jobs)
+        linked = {each.incarnation for each in self._connections.values()}
+        for job in new_jobs:
+            controller.stop_job(job.key, linked)
+        if not new_jobs:
+            return
+        for connection in self._connections.values():
+            if connection is not source:
+                connection.link.post(messages.CanceledJobs(new_jobs))
+
     def _report_lost_entries(self, now: float) -> None:
         """Tell other entries of the jobs of an entry that has been silent for the length of a grant."""
         received_at = {each.incarnation: each.link.last_received_at for each in self._connections.values()}
@@ -379,6 +394,8 @@
         )
         for crash in self._recent_crashes.current(asyncio.get_running_loop().time()):
             link.post(crash)
+        if self._canceled_jobs:
+            link.post(messages.CanceledJobs(list(self._canceled_jobs)))
         self._known_entries.confirm(hello.entries)
 
     @staticmethod
@@ -418,11 +435,8 @@
             connection.config_version = message.config_version
         elif isinstance(message, messages.Stops):
             controller.stop(message.keys, message.reason)
-        elif isinstance(message, messages.CancelJob):
-            controller.stop_job(message.job.key, {each.incarnation for each in self._connections.values()})
-            for other in self._connections.values():
-                if other is not connection:
-                    other.link.post(message)
+        elif isinstance(message, messages.CanceledJobs):
+            self._handle_cancellations(message.jobs, connection, controller)
         elif isinstance(message, messages.StartedJobs):
             self._pass_on_started(message.jobs, connection)
         elif isinstance(message, scheduling.WorkerCrash):
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -21,6 +21,7 @@
     known_entries,
     link_monitor,
     messages,
+    recent_jobs,
 )
 
 if TYPE_CHECKING:
@@ -73,6 +74,8 @@
         self._on_job_canceled = on_job_canceled
         self._on_jobs_started = on_jobs_started
         self._unannounced_jobs: list[ids.JobKey] = []  # without an outcome, here or elsewhere; announced next
+        self._canceled_jobs = recent_jobs.RecentJobs[ids.QueuedJob](messages.MAX_CANCELED_JOBS)
+        self._unannounced_cancellations: list[ids.QueuedJob] = []
         self._codec = fleet_codec.FleetCodec()
         self._monitor = link_monitor.LinkMonitor(counters)
         self._fleet = scheduling.FleetState()
@@ -118,9 +121,8 @@
 
     def broadcast_cancel(self, job: ids.QueuedJob) -> None:
         """Tell other entries, through the agents, that a job is cancelled; those that can't reach the store too."""
-        for peer in self._peers.values():
-            if peer.link is not None:
-                peer.link.post(messages.CancelJob(job))
+        self._canceled_jobs.add([job])
+        self._unannounced_cancellations.append(job)
 
     def start(self, agent: ids.AgentName, task: scheduling.ParallelTask, run: ids.RunKey, expected_s: float) -> int:
         """Queue a start; all starts of one event loop iteration are sent in one message."""
@@ -271,6 +273,8 @@
         )
         self._exchange.request_if_newer(link, hello.config_version)
         peer.send_grant(self._cache.version, self._list_known_entries())
+        if self._canceled_jobs:
+            link.post(messages.CanceledJobs(list(self._canceled_jobs)))
         if not is_new:
             self._handle_ends(peer, hello.ends, now)
             held = set(hello.held)
@@ -300,8 +304,11 @@
             self._known_entries.confirm(message.entries)
             if peer.link is not None:
                 self._exchange.request_if_newer(peer.link, message.config_version)
-        elif isinstance(message, messages.CancelJob):
-            self._on_job_canceled(message.job, CANCELED_ELSEWHERE)
+        elif isinstance(message, messages.CanceledJobs):
+            new_jobs = self._canceled_jobs.add(message.jobs)
+            self._unannounced_cancellations += new_jobs
+            for job in new_jobs:
+                self._on_job_canceled(job, CANCELED_ELSEWHERE)
         elif isinstance(message, messages.StartedJobs):
             self._unannounced_jobs += self._on_jobs_started(message.jobs)
         elif isinstance(message, scheduling.WorkerCrash):
@@ -330,17 +337,23 @@
         peer.is_lost = False
         self._scheduler.update_worker(view, report, message.handled_start, now)
 
-    def _announce_started_jobs(self) -> None:
+    def _announce_jobs(self) -> None:
         """Tell the other entries, through the agents, of started jobs that the callers may send to them.
 
-        At a burst of jobs without an outcome, a message for each of them would reach all processes.
+        Entries without an agent in common learn of cancelled jobs in this way, too. At a burst, a message for each job
+        would reach all processes.
         """
-        jobs, self._unannounced_jobs = self._unannounced_jobs, []
-        for first in range(0, len(jobs), messages.MAX_STARTED_JOBS):
-            message = messages.StartedJobs(jobs[first : first + messages.MAX_STARTED_JOBS])
-            for peer in self._peers.values():
-                if peer.link is not None:
-                    peer.link.post(message)
+        started, self._unannounced_jobs = self._unannounced_jobs, []
+        for first in range(0, len(started), messages.MAX_STARTED_JOBS):
+            self._post_to_agents(messages.StartedJobs(started[first : first + messages.MAX_STARTED_JOBS]))
+        canceled, self._unannounced_cancellations = self._unannounced_cancellations, []
+        for first in range(0, len(canceled), messages.MAX_CANCELED_JOBS):
+            self._post_to_agents(messages.CanceledJobs(canceled[first : first + messages.MAX_CANCELED_JOBS]))
+
+    def _post_to_agents(self, message: messages.Message) -> None:
+        for peer in self._peers.values():
+            if peer.link is not None:
+                peer.link.post(message)
 
     def _handle_crash(self, peer: agent_peer.AgentPeer, crash: scheduling.WorkerCrash, now: float) -> None:
         """Count a crash and pass it on to all agents, and through them to entries without a link to its agent."""
@@ -393,7 +406,7 @@
             self._scheduler.entry_count = len(entries)
             for peer in self._peers.values():
                 peer.send_grant_if_due(self._cache.version, entries, self._scheduler.has_runs_on_agent(peer.name))
-            self._announce_started_jobs()
+            self._announce_jobs()
             self._monitor.check(asyncio.get_running_loop().time())
             await asyncio.sleep(runs.HEARTBEAT_INTERVAL_S)
 
--- a/src/cactusgauge/fleet/entry_outbox.py
+++ b/src/cactusgauge/fleet/entry_outbox.py
@@ -1,14 +1,10 @@
 """Ends of runs that an entry has not acknowledged yet."""
 
 import collections
-from typing import TYPE_CHECKING
 
-from cactusgauge import accounting, scheduling
+from cactusgauge import accounting, ids, scheduling
 from cactusgauge.fleet import messages, recent_jobs
 
-if TYPE_CHECKING:
-    from cactusgauge import ids
-
 MAX_RECENT_JOBS = 200  # more than an entry starts at one agent until their callers have given up
 MAX_UNACKNOWLEDGED_ENDS = 2_000  # an unreachable entry's grant and runs end long before there are as many
 
@@ -28,7 +24,7 @@
         self._sent_number = 0
         self.last_linked_at = 0.0
         self.handled_start = 0
-        self.recent_jobs = recent_jobs.RecentJobs(MAX_RECENT_JOBS)
+        self.recent_jobs = recent_jobs.RecentJobs[ids.JobKey](MAX_RECENT_JOBS)
         self.is_reported_lost = False
         self.account = accounting.PairAccount()
 
@@ -43,7 +39,7 @@
         self.recent_jobs.add([job])
         self.account.count_assign(number, 1)
 
-    def add(self, end: "scheduling.RunEnd") -> None:
+    def add(self, end: scheduling.RunEnd) -> None:
         """Add the end of a run."""
         self._last_number += 1
         self._ends.append(messages.EndedRun(self._last_number, end.key, end.kind, round(end.ran_s * 1000), end.reason))
--- a/src/cactusgauge/fleet/messages.py
+++ b/src/cactusgauge/fleet/messages.py
@@ -12,9 +12,10 @@
 
 from cactusgauge import ids, scheduling
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 MAX_LISTED_ENTRIES = 1_000  # many times the number of entries at the target size
 MAX_STARTED_JOBS = 2_000  # in one message
+MAX_CANCELED_JOBS = 500  # in one message, of about 20 KB
 
 
 def is_link_url(url: str) -> bool:
@@ -142,10 +143,13 @@
     reason: str
 
 
-class CancelJob(NamedTuple):
-    """Cancels a job that another entry may have: sent by an entry and forwarded by agents to the other entries."""
+class CanceledJobs(NamedTuple):
+    """Jobs whose cancellation was requested; any entry may have them, or be sent them later.
 
-    job: ids.QueuedJob
+    Each process passes a job on once. At link-up, both ends tell each other of the last ones.
+    """
+
+    jobs: Annotated[list[ids.QueuedJob], pydantic.Field(max_length=MAX_CANCELED_JOBS)]
 
 
 class StartedJobs(NamedTuple):
@@ -186,7 +190,7 @@
     | Grant
     | Starts
     | Stops
-    | CancelJob
+    | CanceledJobs
     | StartedJobs
     | DocumentRequest
     | ConfigDocument
@@ -203,7 +207,7 @@
     Grant,
     Starts,
     Stops,
-    CancelJob,
+    CanceledJobs,
     StartedJobs,
     DocumentRequest,
     ConfigDocument,
--- a/src/cactusgauge/fleet/parallel_job_service.py
+++ b/src/cactusgauge/fleet/parallel_job_service.py
@@ -64,7 +64,7 @@
         # Cancelled jobs that this entry did not have, in case they are submitted later.
         self._cancellations: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
         self._unfinished_jobs: collections.OrderedDict[ids.QueuedJob, None] = collections.OrderedDict()
-        self._started_elsewhere = recent_jobs.RecentJobs(MAX_UNFINISHED_JOBS)
+        self._started_elsewhere = recent_jobs.RecentJobs[ids.JobKey](MAX_UNFINISHED_JOBS)
         self._scheduler: scheduling.RunScheduler | None = None
         self._ends_by = float("inf")
 
--- a/src/cactusgauge/fleet/recent_jobs.py
+++ b/src/cactusgauge/fleet/recent_jobs.py
@@ -1,31 +1,33 @@
 """A bounded set of jobs."""
 
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from cactusgauge import ids
 
 if TYPE_CHECKING:
     from collections import abc
 
-    from cactusgauge import ids
+Job = TypeVar("Job", ids.JobKey, ids.QueuedJob)
 
 
-class RecentJobs:
+class RecentJobs(Generic[Job]):
     """The jobs that were added last, at most `capacity` of them."""
 
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
-        self._jobs: collections.OrderedDict[ids.JobKey, None] = collections.OrderedDict()
+        self._jobs: collections.OrderedDict[Job, None] = collections.OrderedDict()
 
-    def __contains__(self, job: "ids.JobKey") -> bool:
+    def __contains__(self, job: Job) -> bool:
         return job in self._jobs
 
     def __len__(self) -> int:
         return len(self._jobs)
 
-    def __iter__(self) -> "abc.Iterator[ids.JobKey]":
+    def __iter__(self) -> "abc.Iterator[Job]":
         return iter(self._jobs)
 
-    def add(self, jobs: "abc.Iterable[ids.JobKey]") -> "list[ids.JobKey]":
+    def add(self, jobs: "abc.Iterable[Job]") -> list[Job]:
         """Add jobs and return those that were not there."""
         added = []
         for job in jobs:
--- a/src/cactusgauge/platform/job_app.py
+++ b/src/cactusgauge/platform/job_app.py
@@ -166,8 +166,7 @@
     async def _delete(self, send: asgi.Send, job: ids.QueuedJob) -> None:
         """Cancel a job wherever it is; acknowledge it only once all entries that can reach the store will learn it."""
         was_open = self._job_service.cancel(job)
-        if not was_open:
-            self._entry.broadcast_cancel(job)
+        self._entry.broadcast_cancel(job)  # its POST may arrive again at an entry that can't reach the store
         try:
             await self._cancellations.record(job)
         except fleet.StoreUnavailableError as error:
--- /dev/null
+++ b/tests/unit/fleet/test_cancellations.py
@@ -0,0 +1,61 @@
+"""Cancellations that reach an entry through agents."""
+
+import asyncio
+
+from cactusgauge import ids, scheduling
+from tests.unit.fleet import conftest
+
+JOB = ids.QueuedJob(conftest.QUEUE.queue, ids.JobKey("j"))
+CANCELED = scheduling.JobResult.CANCELED
+
+
+async def test_cancellation_reaches_an_entry_without_a_common_agent() -> None:
+    """Guards against tasks of a cancelled job at an entry that can't reach the store (review/10)."""
+    canceling = conftest.Entry("e1", [])
+    between = conftest.Entry("e2", [])
+    owner = conftest.Entry("e3", [])
+    agents = [conftest.Agent("a", [canceling.url, between.url]), conftest.Agent("b", [between.url, owner.url])]
+    agents[1].duration_s = 20.0
+    async with conftest.running(canceling, between, owner, *agents):
+        await conftest.until(lambda: canceling.link_server.has_workers and owner.link_server.has_workers)
+        await conftest.until(lambda: sum(view.accepts_runs for view in between.link_server.workers) == 2)
+        submitting = asyncio.create_task(owner.submit("j"))
+        await conftest.until(lambda: len(agents[1].worker.running) == 1)
+        canceling.link_server.broadcast_cancel(JOB)
+        answer = await submitting
+        await conftest.until(lambda: not agents[1].worker.running, 1.0)
+    assert answer is not None and answer.result is CANCELED
+
+
+async def test_entry_that_links_later_starts_no_task_of_a_cancelled_job() -> None:
+    """Guards against starts at the end of a cut, before the entry has read the cancellations (review/9)."""
+    canceling = conftest.Entry("e1", [])
+    later = conftest.Entry("e2", [canceling.url])
+    agent = conftest.Agent("a", [canceling.url, later.url])
+    async with conftest.running(canceling, agent):
+        await conftest.until(lambda: canceling.link_server.has_workers)
+        submitting = asyncio.create_task(later.submit("j"))  # it waits for an agent
+        await asyncio.sleep(0.1)
+        canceling.link_server.broadcast_cancel(JOB)
+        await asyncio.sleep(0.1)
+        async with conftest.running(later):
+            answer = await submitting
+            assert answer is not None and answer.result is CANCELED
+            again = await later.submit("j")
+    assert again is not None and again.result is CANCELED
+    assert agent.worker.starts == []
+
+
+async def test_each_process_passes_a_cancellation_on_once() -> None:
+    """Guards against messages that go round between entries and agents without an end."""
+    entries = [conftest.Entry(name, []) for name in ("e1", "e2", "e3")]
+    agents = [conftest.Agent(name, [entry.url for entry in entries]) for name in ("a", "b", "c")]
+    async with conftest.running(*entries, *agents):
+        await conftest.until(
+            lambda: all(sum(view.accepts_runs for view in each.link_server.workers) == 3 for each in entries)
+        )
+        entries[0].link_server.broadcast_cancel(JOB)
+        await asyncio.sleep(1.0)
+        received = [entry.counters.get("fleet_messages_received", label="CanceledJobs") for entry in entries]
+    assert max(received) <= len(agents)
+    assert received[1] > 0 and received[2] > 0
--- a/tests/unit/fleet/test_fleet_codec.py
+++ b/tests/unit/fleet/test_fleet_codec.py
@@ -27,7 +27,7 @@
     messages.Grant(1.5, 1, 1, []),
     messages.Starts(1.5, [messages.StartRun(1, 1, KEY, AMOUNTS, 100.0, "payload")]),
     messages.Stops([KEY], "canceled"),
-    messages.CancelJob(ids.QueuedJob(ids.QueueName("q"), KEY.job)),
+    messages.CanceledJobs([ids.QueuedJob(ids.QueueName("q"), KEY.job)]),
     messages.StartedJobs([KEY.job]),
     messages.DocumentRequest(1),
     messages.ConfigDocument(1, b"{}"),
--- a/tests/unit/platform/test_job_app.py
+++ b/tests/unit/platform/test_job_app.py
@@ -465,6 +465,31 @@
     strategies.integers().map(lambda number: str(number).encode()),
     strategies.sampled_from([b"9" * 400, b"9" * 5000, b"\xb2", b"inf", b"nan", b"1_0"]),
 )
+
+
+async def test_cancellation_of_an_open_job_reaches_entries_without_the_store() -> None:
+    """Guards against a cancelled job that runs as its POST arrives again at another entry (review/8)."""
+    other = fleet_conftest.Entry("e2", [])
+    entry = fleet_conftest.Entry("e1", [])
+    agent = fleet_conftest.Agent("a", [entry.url, other.url])
+    agent.duration_s = 20.0
+    async with fleet_conftest.running(entry, other, agent):
+        await fleet_conftest.until(lambda: entry.link_server.has_workers and other.link_server.has_workers)
+        setup, other_setup = _Setup(entry, agent), _Setup(other, agent)
+        setup.configure()
+        other_setup.configure()
+        submitting = asyncio.create_task(setup.call("POST", f"/q/{JOB}", BODY))
+        await fleet_conftest.until(lambda: len(agent.worker.running) == 2)
+        deleted = await setup.call("DELETE", f"/q/{JOB}")
+        assert deleted is not None and deleted[0] == 200
+        await submitting
+        await asyncio.sleep(0.5)
+        starts = len(agent.worker.starts)
+        again = await other_setup.call("POST", f"/q/{JOB}", BODY)
+        assert again is not None and again[:2] == (200, {"state": "failed"})
+        assert len(agent.worker.starts) == starts
+
+
 METHODS = strategies.sampled_from(["POST", "POST", "POST", "GET", "DELETE", "PUT", "\u00e9"])
 PATHS = strategies.one_of(strategies.just(f"/q/{JOB}"), strategies.text(max_size=30).map(lambda text: f"/q/{text}"))
 
