End the jobs of an entry that reaches neither an agent nor the store

An entry was cut off for 4 s, its client handed the job in elsewhere, and the entry started all tasks again when the cut ended, before it noticed that its client had gone.

Cause: grants bound the runs of an entry that can't reach its agents, but nothing bounded its right to start them anew. A suspended process waits until it has read what arrived; one that was cut off knew nothing of it.

Change: an entry that takes all of its agents for lost and whose reads of the store fail is isolated, and ends its jobs: with 504 those that may have started, with 503 and Retry-After the others. While the store answers, the agents may have failed, so the jobs wait for others as before.

Why it works: runs are given up 1.25 s after the last message, and the store's silence is noticed within 1.6 s, so nothing is left to start at the end of a longer cut. A cut between the two is not covered.

Test: test_isolated_entry_ends_its_jobs, with the store unreachable, failed before.

--- a/src/cactusgauge/fleet/__init__.py
+++ b/src/cactusgauge/fleet/__init__.py
@@ -4,7 +4,12 @@
 from cactusgauge.fleet.cancellation_follower import CancellationFollower
 from cactusgauge.fleet.config_cache import ConfigCache, Document
 from cactusgauge.fleet.config_follower import ConfigFollower
-from cactusgauge.fleet.entry_link_server import CANCELED_ELSEWHERE, EntryLinkServer, wall_clock_run_number
+from cactusgauge.fleet.entry_link_server import (
+    CANCELED_ELSEWHERE,
+    ENTRY_ISOLATED,
+    EntryLinkServer,
+    wall_clock_run_number,
+)
 from cactusgauge.fleet.parallel_job_service import ENTRY_STOPPING, JobAnswer, NewJob, ParallelJobService
 from cactusgauge.fleet.policies import QUEUE_SLACK_SHARE, scheduler_builder
 from cactusgauge.fleet.report_schedule import report_interval_s
@@ -22,6 +27,7 @@
 
 __all__ = [
     "CANCELED_ELSEWHERE",
+    "ENTRY_ISOLATED",
     "ENTRY_STOPPING",
     "QUEUE_SLACK_SHARE",
     "AgentLinkClient",
--- a/src/cactusgauge/fleet/cancellation_follower.py
+++ b/src/cactusgauge/fleet/cancellation_follower.py
@@ -29,6 +29,11 @@
         self._log_event = log_event
         self._is_reachable = True
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last read succeeded."""
+        return self._is_reachable
+
     async def run(self) -> None:
         """Follow cancellations until cancelled."""
         cursor = 0
--- a/src/cactusgauge/fleet/entry_link_server.py
+++ b/src/cactusgauge/fleet/entry_link_server.py
@@ -35,6 +35,7 @@
 TICK_INTERVAL_S = 0.025
 ANNOUNCE_INTERVAL_S = 1.0
 CANCELED_ELSEWHERE = "canceled_at_other_entry"
+ENTRY_ISOLATED = "entry_isolated"
 MAX_SEEDS = 3  # the platform lists at most this many
 DIAL_TIMEOUT_S = 1.0
 MAX_CLOSED_ACCOUNTS = 500  # agent restarts of a week at the target size; older ones are recorded in the store
@@ -61,6 +62,7 @@
         on_job_ended: "abc.Callable[[scheduling.ParallelJob, scheduling.JobResult, str, int], None]",
         on_job_canceled: "abc.Callable[[ids.QueuedJob, str], object]",
         on_jobs_started: "abc.Callable[[abc.Iterable[ids.JobKey]], list[ids.JobKey]]",
+        is_store_reachable: "abc.Callable[[], bool]",
     ) -> None:
         self.incarnation = ids.new_entry_incarnation()
         self._name = name
@@ -73,6 +75,7 @@
         self._on_job_ended = on_job_ended
         self._on_job_canceled = on_job_canceled
         self._on_jobs_started = on_jobs_started
+        self._is_store_reachable = is_store_reachable
         self._unannounced_jobs: list[ids.JobKey] = []  # without an outcome, here or elsewhere; announced next
         self._canceled_jobs = recent_jobs.RecentJobs[ids.QueuedJob](messages.MAX_CANCELED_JOBS)
         self._unannounced_cancellations: list[ids.QueuedJob] = []
@@ -416,6 +419,7 @@
             now = loop.time()
             for peer in list(self._peers.values()):
                 self._check_peer(peer, now)
+            self._end_jobs_if_isolated()
             self._scheduler.tick(now)
             await asyncio.sleep(TICK_INTERVAL_S)
 
@@ -441,6 +445,18 @@
             del self._peers[peer.name]
             self._fleet.remove(peer.name)
 
+    def _end_jobs_if_isolated(self) -> None:
+        """End all jobs if this entry reaches neither an agent nor the store.
+
+        Their callers may have sent them to another entry, or cancelled them there, and this entry would learn of it
+        only after it has started them again.
+        """
+        if not self._peers or not all(peer.is_lost for peer in self._peers.values()) or self._is_store_reachable():
+            return
+        if self._scheduler.open_jobs:
+            self._journal.record_state("entry_isolated", agents=len(self._peers), jobs=len(self._scheduler.open_jobs))
+            self._scheduler.cancel_all(ENTRY_ISOLATED, scheduling.MIN_RETRY_AFTER_S)
+
     async def _announce_forever(self, seed_number: int) -> None:
         """Keep announcing this entry to one seed entry."""
         while True:
--- a/src/cactusgauge/platform/node.py
+++ b/src/cactusgauge/platform/node.py
@@ -122,6 +122,7 @@
             job_service.finish,
             job_service.cancel,
             job_service.record_started_elsewhere,
+            lambda: cancellation_follower.is_store_reachable,
         )
         job_service.attach(entry.scheduler)
         cancellations = store_cancellations.StoreCancellations(node.store)
--- a/src/cactusgauge/scheduling/__init__.py
+++ b/src/cactusgauge/scheduling/__init__.py
@@ -1,6 +1,13 @@
 """Scheduling of jobs whose tasks run under leases: queueing, admission, placement and retries."""
 
-from cactusgauge.scheduling.admission_policy import AcceptAll, AdmissionPolicy, Load, ObjectiveAdmission, Refusal
+from cactusgauge.scheduling.admission_policy import (
+    MIN_RETRY_AFTER_S,
+    AcceptAll,
+    AdmissionPolicy,
+    Load,
+    ObjectiveAdmission,
+    Refusal,
+)
 from cactusgauge.scheduling.crash_ledger import TRIAL_RUNNING, CrashLedger, TasksAtCrash, WorkerCrash
 from cactusgauge.scheduling.duration_estimator import DurationEstimator
 from cactusgauge.scheduling.fleet_state import FleetState
@@ -18,6 +25,7 @@
 from cactusgauge.scheduling.worker_view import WorkerView
 
 __all__ = [
+    "MIN_RETRY_AFTER_S",
     "TRIAL_RUNNING",
     "AcceptAll",
     "AdmissionPolicy",
--- a/src/cactusgauge/scheduling/run_scheduler.py
+++ b/src/cactusgauge/scheduling/run_scheduler.py
@@ -171,10 +171,10 @@
             self._fleet.update_median_slowness()
         self._output.request_dispatch()
 
-    def cancel_all(self, reason: str) -> None:
-        """End all jobs because the entry is stopping."""
+    def cancel_all(self, reason: str, retry_after_s: int = 0) -> None:
+        """End all jobs, which this entry can't serve any more."""
         for job in list(self._jobs.values()):
-            self._finish(job, job.result_if_given_up, reason)
+            self._finish(job, job.result_if_given_up, reason, retry_after_s)
 
     def end_run(self, agent: ids.AgentName, end: run_end.RunEnd, now: float) -> None:
         """Process the end of a run: complete, fail or requeue its task."""
--- a/tests/unit/fleet/conftest.py
+++ b/tests/unit/fleet/conftest.py
@@ -88,6 +88,7 @@
     def __init__(self, name: str, seeds: list[str]) -> None:
         self.port = free_port()
         self.url = f"ws://{HOST}:{self.port}"
+        self.is_store_reachable = True
         self.counters = observability.Counters()
         self.journal = observability.Journal(name, self.counters, descriptor=-1)
         self.cache = fleet.ConfigCache(decode, self.journal.record_state)
@@ -104,6 +105,7 @@
             self.job_service.finish,
             self.job_service.cancel,
             self.job_service.record_started_elsewhere,
+            lambda: self.is_store_reachable,
         )
         self.job_service.attach(self.link_server.scheduler)
 
--- a/tests/unit/fleet/test_cancellations.py
+++ b/tests/unit/fleet/test_cancellations.py
@@ -1,8 +1,10 @@
-"""Cancellations that reach an entry through agents."""
+"""Cancellations that reach an entry through agents, and jobs at an entry that nothing can reach."""
 
 import asyncio
 
-from cactusgauge import ids, scheduling
+import pytest
+
+from cactusgauge import fleet, ids, scheduling
 from tests.unit.fleet import conftest
 
 JOB = ids.QueuedJob(conftest.QUEUE.queue, ids.JobKey("j"))
@@ -59,3 +61,30 @@
         received = [entry.counters.get("fleet_messages_received", label="CanceledJobs") for entry in entries]
     assert max(received) <= len(agents)
     assert received[1] > 0 and received[2] > 0
+
+
+@pytest.mark.parametrize("is_store_reachable", [True, False])
+async def test_isolated_entry_ends_its_jobs(is_store_reachable: bool) -> None:
+    """Guards against a job that starts again at the end of a cut, while its caller's next attempt runs (review/6)."""
+    entry = conftest.Entry("e", [])
+    agent = conftest.Agent("a", [entry.url])
+    agent.duration_s = 20.0
+    async with conftest.running(entry, agent) as tasks:
+        await conftest.until(lambda: entry.link_server.has_workers)
+        started = asyncio.create_task(entry.submit("j1", tasks=4))
+        await conftest.until(lambda: len(agent.worker.running) == 4)
+        waiting = asyncio.create_task(entry.submit("j2"))
+        await asyncio.sleep(0.1)
+        entry.is_store_reachable = is_store_reachable
+        tasks[agent].cancel()
+        await asyncio.sleep(conftest.TIMING.runs_gone_after_s + 0.3)
+        if is_store_reachable:  # the agents may have failed, so that others may come
+            assert not started.done()
+            started.cancel()
+            waiting.cancel()
+            return
+        answers = [await started, await waiting]
+    assert answers[0] is not None and answers[1] is not None
+    assert (answers[0].result, answers[0].reason) == (scheduling.JobResult.UNFINISHED, fleet.ENTRY_ISOLATED)
+    assert answers[1].result is scheduling.JobResult.NOT_RUN
+    assert answers[1].retry_after_s > 0
