--- a/tests/unit/platform/test_config_document.py
+++ b/tests/unit/platform/test_config_document.py
@@ -96,3 +96,11 @@
     """Guards against refusing a configuration for a field that this program does not use."""
     version, routes = config_document.decode(_document(services=[float("inf"), 10**400], routes=[{**ROUTE, "x": -1}]))
     assert (version, len(routes)) == (4, 1)
+
+
+def test_services_are_those_of_the_list_and_of_the_routes() -> None:
+    """Guards against a worker that is refused although the configuration names its service."""
+    services = [{"name": "idle", "standby": True}, {"name": 7}, {}, "text"]
+    _, routes = config_document.decode(_document(services=services))
+    assert routes.services == {ROUTE["service"], "idle"}
+    assert config_document.decode(_document(services=None))[1].services == {ROUTE["service"]}
