Take the observer and the attribution of crashes out of the run controller

The controller has grown with the announced workers. What observes it and the decision which tasks may have crashed a worker are modules of their own now; nothing else changes.

--- a/src/cactusgauge/runs/__init__.py
+++ b/src/cactusgauge/runs/__init__.py
@@ -1,6 +1,8 @@
 """Runs of tasks at one worker: capacity, leases, fencing and the grants of entries."""
 
-from cactusgauge.runs.run_controller import RECENT_START_S, RunController, RunObserver
+from cactusgauge.runs.crash_attribution import RECENT_START_S
+from cactusgauge.runs.run_controller import RunController
+from cactusgauge.runs.run_observer import RunObserver
 from cactusgauge.runs.run_registry import NO_ROOM, NewRun, RunPhase, RunRegistry
 from cactusgauge.runs.timing import HEARTBEAT_INTERVAL_S, SUSPECT_AFTER_S, RunTiming, run_timing
 from cactusgauge.runs.worker_client import (
--- a/src/cactusgauge/runs/run_controller.py
+++ b/src/cactusgauge/runs/run_controller.py
@@ -1,6 +1,5 @@
 """Starts runs on the local worker of an agent, renews their lease and stops them."""
 
-import abc
 import asyncio
 import contextlib
 from typing import TYPE_CHECKING, Self
@@ -8,7 +7,9 @@
 from cactusgauge import background, ids, scheduling
 from cactusgauge.runs import (
     announced_workers,
+    crash_attribution,
     fencing_token,
+    run_observer,
     run_registry,
     timing,
     worker_client,
@@ -23,31 +24,10 @@
 START_ATTEMPTS = 3
 RETRY_PAUSE_S = 0.02
 MISSED_HEARTBEATS = 3
-RECENT_START_S = 0.1  # a task that crashes the worker that starts it does so within this time
 NO_REPLY = "no_reply"
 WORKER_CHANGED = "worker_changed"  # the run was meant for an earlier incarnation, possibly of another kind
 
 
-class RunObserver(abc.ABC):
-    """Receives the events of a run controller."""
-
-    @abc.abstractmethod
-    def on_run_ended(self, owner: ids.EntryIncarnation, end: scheduling.RunEnd) -> None:
-        """Handle the end of a run that belongs to an entry."""
-
-    @abc.abstractmethod
-    def on_worker_crashed(self, generation: int, tasks: scheduling.TasksAtCrash) -> None:
-        """Handle a crash of the worker's incarnation number `generation`; the ends of its runs follow."""
-
-    @abc.abstractmethod
-    def on_report_changed(self) -> None:
-        """Handle a change of the worker's report."""
-
-    @abc.abstractmethod
-    def log_event(self, event: str, **fields: str | float) -> None:
-        """Log a decision."""
-
-
 class RunController:
     """Controls the runs on one worker; all requests to the worker are sent from here.
 
@@ -63,7 +43,7 @@
         heartbeat_interval_s: float,
         connect: "collections_abc.Callable[[worker_heartbeat.WorkerHeartbeat], worker_client.WorkerClient]",
         is_service_known: "collections_abc.Callable[[ids.ServiceName], bool]",
-        observer: RunObserver,
+        observer: run_observer.RunObserver,
     ) -> None:
         self._timing = timing_
         self._silent_after_s = MISSED_HEARTBEATS * heartbeat_interval_s
@@ -667,14 +647,7 @@
         if not runs or (self._heartbeat is not None and self._heartbeat.is_draining):
             return
         crashed_at = self._failing_since if self._failing_since is not None else asyncio.get_running_loop().time()
-        recent = [run for run in runs if run.started_at > crashed_at - RECENT_START_S]
-        # If there is only one, it is taken for the cause also without a reply to its start.
-        confirmed = [run for run in recent if run.is_confirmed or len(recent) == 1]
-        tasks = scheduling.TasksAtCrash(
-            [run.key.task for run in confirmed],
-            [run.key.task for run in recent if run not in confirmed],
-            [run.key.task for run in runs if run not in recent],
-        )
+        tasks = crash_attribution.tasks_at_crash(runs, crashed_at)
         self._observer.log_event(
             "worker_crashed",
             life=self._incarnation,
